--- a/calicomast/adapter.py
+++ b/calicomast/adapter.py
@@ -12,17 +12,11 @@
 
 from calicomast import interface as api
 from calicomast.policy import Gateway
+from calicomast.settings import NS, flag, read_report, read_settings, seconds
 
-EFFECT = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
-DISCOVERY = {"pushed": "push", "on_request": "ask"}
 STATE = {"U": "up", "L": "leaving", "D": "down"}
 RESULT = {"GOOD": "ok", "BAD": "error", "FULL": "full", "LATE": "timeout", "NOCONN": "connect_failed",
           "RST": "reset", "CXL": "cancelled", "NOP": "moot"}
-REPORT = {"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency", "rps": "rps",
-          "err_rps": "errors"}
-BOOL = {"true": True, "1": True, "false": False, "0": False}
-NS = 1e9
-
 
 class WireError(Exception):
     """A line that does not follow the wire; `inst` is the instance it named, if any."""
@@ -45,85 +39,28 @@
     return root
 
 
-def _items(node: dict[str, Any]) -> list[dict[str, Any]]:
-    return [node[str(k)] for k in range(int(node["count"]))]
-
-
-def _sec(text: str) -> float:
-    return int(text) / NS
-
-
-def _flag(node: dict[str, Any], name: str, default: bool = False) -> bool:
-    return BOOL[node[name]] if name in node else default
-
-
-def _num(node: dict[str, Any], name: str) -> float:
-    return float(node.get(name, 0))
-
-
-def read_settings(pairs: dict[str, str]) -> api.Settings:
-    t = _tree(pairs)
-    classes = {c["name"]: api.ServiceClass(
-        name=c["name"], aim=_sec(c["slo"]), deadline=_sec(c["deadline"]), effect=EFFECT[c["effect"]],
-        scope=c.get("dedup_scope", "all"), memory=_sec(c.get("memory_span", "0")), worth=float(c["gain"]),
-        late_worth=_num(c, "late_value"), stream=_flag(c, "streaming"), aim_stretch=_num(c, "aim_stretch"),
-    ) for c in _items(t["services"])}
-    plans = {p["name"]: api.Plan(
-        name=p["name"], rate=_num(p, "rate"), burst=_num(p, "most_at_once"),
-        open_limit=int(_num(p, "parallel")), price=float(p.get("value_factor", 1)),
-        over_worth=_num(p, "beyond_earns"), over_cost=_num(p, "over_cost"), ceiling_rate=_num(p, "cap_rate"),
-        ceiling_burst=_num(p, "cap_depth"), ceiling_slack=_num(p, "hard_slack"),
-    ) for p in _items(t["plans"])}
-    lim, rules, spec = t["limits"], t["rules"], t["specifics"]
-    names = t.get("reporting", {}).get("names", "")
-    return api.Settings(
-        index=int(t["index"]), gateways=int(t["group_size"]), zone=t["locality"],
-        classes=classes, plans=plans,
-        limits=api.Limits(
-            cancel=_flag(lim, "cancel"), second_copies=_flag(lim, "second_copies"),
-            probes=_flag(lim, "probes"), peers=_flag(lim, "peers"), retry_after=_flag(lim, "retry_after"),
-            max_attempts=int(lim["max_attempts"]),
-            max_retry_after=_sec(lim.get("max_retry_after", "0"))),
-        rules=api.Rules(
-            answer_slack=_sec(rules["answer_slack"]), drain_grace=_sec(rules["drain_grace"]),
-            cold_share=float(rules["start_capacity"]), cold_time=_sec(rules["cold"]),
-            fall_multiple=float(rules["fall_multiple"]), fall_time=_sec(rules["tip_after"]),
-            ask_within=_sec(rules.get("must_ask_in", "0"))),
-        prices={k: float(v) for k, v in t.get("prices", {}).items()},
-        counter=_flag(spec, "shared_counter"), counter_price=_num(spec, "counter_price"),
-        counter_timeout=_sec(spec.get("counter_timeout", "0")),
-        meter_period=_sec(spec.get("meter_period", "0")), settles=_flag(spec, "settles"),
-        most_units=float(spec.get("units_top", 1)), discovery=DISCOVERY[t["registry_mode"]],
-        reports=tuple(REPORT[n] for n in names.split(",") if n in REPORT), weights=t.get("weights", "none"))
-
-
-def _report(text: str | None) -> dict[str, float]:
-    out: dict[str, float] = {}
-    for pair in (text or "").split(","):
-        name, _, value = pair.partition(":")
-        if name in REPORT and value:
-            out[REPORT[name]] = float(value) / 1000 if name == "avg_ms" else float(value)
-    return out
+def _stats(f: dict[str, str]) -> dict[str, float]:
+    return read_report(pair.split(":", 1) for pair in f.get("server_stats", "").split(",") if ":" in pair)
 
 
 def _host(f: dict[str, str]) -> api.Host:
     return api.Host(id=f["host"], zone=f.get("zone", ""), cell=int(f.get("unit_group", 0)),
                     weight=float(f.get("heft", 1)), kind=f.get("flavor", ""), state=STATE[f["availability"]],
-                    started=_sec(f.get("ready_at", "0")))
+                    started=seconds(f.get("ready_at", "0")))
 
 
 def _work_item(f: dict[str, str]) -> api.Request:
     marks = int(f.get("marks", 0))
-    return api.Request(id=f["txn"], left=_sec(f["patience_left"]), customer=f["customer"], plan=f["tier"],
+    return api.Request(id=f["txn"], left=seconds(f["patience_left"]), customer=f["customer"], plan=f["tier"],
                        cls=f["type"], units=float(f["cost_units"]), first=int(float(f.get("first", 0))),
                        spread=int(float(f["n_entries"])), repeat=bool(marks & 2), write=bool(marks & 4))
 
 
 def _outcome(f: dict[str, str]) -> api.Outcome:
     return api.Outcome(id=f["txn"], attempt=int(f["attempt"]), host=f["host"], result=RESULT[f["reason"]],
-                       elapsed=_sec(f.get("time_taken", "0")), final=_flag(f, "terminal"),
+                       elapsed=seconds(f.get("time_taken", "0")), final=flag(f, "terminal"),
                        used=int(float(f.get("fleet_use", 0))), actual=float(f.get("actual", 0)),
-                       report=_report(f.get("server_stats")))
+                       report=_stats(f))
 
 
 def _memo(f: dict[str, str]) -> api.Message:
@@ -134,13 +71,14 @@
     "WORK_ITEM": _work_item,
     "REPORT_BACK": _outcome,
     "ADDED": lambda f: api.Counted(name=int(f["entry_name"]), result=RESULT[f["reason"]],
-                                   total=float(f.get("now_at", 0)), elapsed=_sec(f.get("time_taken", "0"))),
+                                   total=float(f.get("now_at", 0)),
+                                   elapsed=seconds(f.get("time_taken", "0"))),
     "PING_RESULT": lambda f: api.Probed(host=f["host"], result=RESULT[f["reason"]],
-                                        elapsed=_sec(f.get("time_taken", "0")),
-                                        report=_report(f.get("server_stats"))),
+                                        elapsed=seconds(f.get("time_taken", "0")),
+                                        report=_stats(f)),
     "DUE": lambda f: api.Timer(label=int(f["label"])),
     "BEGUN": lambda f: api.Began(id=f["txn"], attempt=int(f["attempt"]), host=f["host"],
-                                 elapsed=_sec(f.get("time_taken", "0"))),
+                                 elapsed=seconds(f.get("time_taken", "0"))),
     "DROPPED": lambda f: api.Gone(id=f["txn"]),
     "MEMO": _memo,
 }
@@ -208,7 +146,7 @@
             if word == "PROVISION":
                 seed = int(f["nonce64"])
                 options = {k: v for k, v in f.items() if k not in ("i", "nonce64")}
-                settings = read_settings(options)
+                settings = read_settings(_tree(options))
                 event: api.Event | None = None
             elif word == "DETACH":
                 self.gateways.pop(inst, None)
@@ -251,7 +189,7 @@
             if word != "ROUND":
                 raise WireError(f"expected ROUND, found {word!r}")
             try:
-                now = _sec(_fields(parts)["at_time"])
+                now = seconds(_fields(parts)["at_time"])
             except (KeyError, ValueError) as err:
                 raise WireError(f"bad clock: {err}") from err
             while (line := self._next()) != "GO":
--- /dev/null
+++ b/calicomast/net/__main__.py
@@ -0,0 +1,39 @@
+"""One real api gateway: `python -m calicomast.net`, with RELAY_CONFIG naming its configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+
+import uvloop
+
+from calicomast.net.config import Config, ConfigError, read_config
+from calicomast.net.gateway import GatewayNode
+
+
+async def serve(config: Config) -> None:
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    node = GatewayNode(config)
+    port = await node.start()
+    logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
+    await told.wait()
+    await node.stop()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        uvloop.run(serve(read_config()))
+    except (ConfigError, OSError) as err:
+        print(f"calicomast: {err}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/calicomast/net/config.py
@@ -0,0 +1,67 @@
+"""What a real gateway is told: environment and JSON file to one checked Config."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from calicomast import interface as api
+from calicomast.settings import read_settings, seconds
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    known: dict[str, Any]  # the list of hosts as this gateway last had it, in discovery's form
+    settings: api.Settings
+    connect_timeout: float
+    idle_close: float  # hosts close a connection that has stood idle for this long
+    max_open: int  # requests in work at once
+
+
+def read_address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (host and colon):
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def read_config(env: Mapping[str, str] = os.environ) -> Config:
+    path = env.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+        tree = told["settings"]
+        limits = tree["limits"]
+        settings = read_settings(tree)
+        counter = told.get("counter")
+        if settings.counter and not counter:
+            raise ValueError("the settings allow a counter but no address is given")
+        return Config(
+            name=env.get("RELAY_NAME") or told["name"],
+            listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
+            discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
+            counter=read_address(counter) if counter else None,
+            seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]), known=told["known"],
+            settings=settings, connect_timeout=seconds(limits["connect_timeout"]),
+            idle_close=seconds(limits["idle_close"]), max_open=int(limits["max_open"]))
+    except KeyError as err:
+        raise ConfigError(f"{path}: missing or unknown {err}") from err
+    except (OSError, ValueError, TypeError, AttributeError) as err:
+        raise ConfigError(f"{path}: {' '.join(str(err).split())}") from err
--- /dev/null
+++ b/calicomast/net/counter.py
@@ -0,0 +1,172 @@
+"""Calls to the counter: pipelined over a few kept connections, each name on one of them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import deque
+from collections.abc import Callable
+from time import monotonic
+
+from calicomast.net.config import Address
+
+LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
+KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
+SILENT = 2.0  # s without an answer that was due, after which a connection is held dead and made anew
+BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries to connect
+MOST_LINE = 4096  # bytes of an answer
+
+log = logging.getLogger(__name__)
+
+Done = Callable[[int, str, float, float], None]  # name, result, total, elapsed
+
+
+class Call:
+    __slots__ = ("name", "done", "started", "timer")
+
+    def __init__(self, name: int, done: Done | None) -> None:
+        self.name, self.done, self.started = name, done, monotonic()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def end(self, result: str, total: float = 0.0) -> None:
+        """Reports once. What comes after a time-out only keeps the place in the order of answers."""
+        if self.timer is not None:
+            self.timer.cancel()
+        done, self.done = self.done, None
+        if done is not None:
+            done(self.name, result, total, monotonic() - self.started)
+
+
+class Line(asyncio.Protocol):
+    """One connection, made again whenever it is lost."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.calls: deque[Call] = deque()  # written and not answered
+        self.rest, self.blocked, self.used = b"", False, 0.0
+        self.lost = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        # pause_writing then tells at once that the socket did not take a whole call.
+        transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
+        self.rest, self.blocked, self.used = b"", False, monotonic()
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        calls, self.calls = self.calls, deque()
+        for call in calls:  # written, so each may have been added
+            call.end("timeout")
+        self.lost.set()
+
+    def write(self, call: Call, text: bytes) -> bool:
+        """False if nothing of it was written."""
+        if self.transport is None or self.blocked or self.transport.is_closing():
+            return False
+        self.calls.append(call)
+        self.used = call.started
+        self.transport.write(text)
+        return True
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            if not self.answer(line.split()):
+                log.warning("counter: unexpected answer %r", line[:80])
+                self.abort()
+                return
+        if len(self.rest) > MOST_LINE:
+            log.warning("counter: an answer without end")
+            self.abort()
+
+    def answer(self, words: list[bytes]) -> bool:
+        if not self.calls or not words:
+            return False
+        if words[0] == b"ok" and len(words) == 2:
+            try:
+                total = float(words[1])
+            except ValueError:
+                return False
+            if not math.isfinite(total):
+                return False
+            self.calls.popleft().end("ok", total)
+        elif words[0] in (b"busy", b"error"):
+            self.calls.popleft().end("full")
+        elif words[0] == b"pong":
+            self.calls.popleft().end("ok")
+        else:
+            return False
+        return True
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def check(self) -> None:
+        now = monotonic()
+        if self.calls and now - self.calls[0].started > SILENT:
+            # A machine that vanished says nothing, and its connections stay open for good.
+            log.warning("counter: no answer for %.0f s, connecting again", SILENT)
+            self.abort()
+        elif not self.calls and now - self.used > KEEP_ALIVE:
+            self.write(Call(0, None), b"ping\r\n")
+
+    async def keep(self) -> None:
+        loop, pause = asyncio.get_running_loop(), BACKOFF_LEAST
+        while True:
+            self.lost.clear()
+            try:
+                async with asyncio.timeout(1.0):
+                    await loop.create_connection(lambda: self, *self.address)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(pause)
+                pause = min(BACKOFF_MOST, 2 * pause)
+                continue
+            made = monotonic()
+            await self.lost.wait()
+            if monotonic() - made < BACKOFF_MOST:  # accepted, then closed: no reason to hurry
+                await asyncio.sleep(pause)
+                pause = min(BACKOFF_MOST, 2 * pause)
+            else:
+                pause = BACKOFF_LEAST
+
+
+class Counter:
+    def __init__(self, address: Address, timeout: float) -> None:
+        self.timeout = timeout
+        self.lines = [Line(address) for _ in range(LINES)]
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        work = [*(line.keep() for line in self.lines), self.checks()]
+        self.tasks = [loop.create_task(one) for one in work]
+
+    async def checks(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            for line in self.lines:
+                line.check()
+
+    def add(self, name: int, amount: float, lifetime: float, done: Done) -> None:
+        call = Call(name, done)
+        text = b"incr %d %s %d\r\n" % (name, f"{amount:.7g}".encode(), max(1, math.ceil(lifetime * 1000)))
+        loop = asyncio.get_running_loop()
+        if self.lines[name % LINES].write(call, text):  # one line a name keeps its answers in order
+            call.timer = loop.call_later(self.timeout, call.end, "timeout")
+        else:
+            loop.call_soon(call.end, "connect_failed")
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for line in self.lines:
+            line.abort()
--- /dev/null
+++ b/calicomast/net/discovery.py
@@ -0,0 +1,106 @@
+"""Discovery: the whole list of hosts once, then a watch for its changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from calicomast import interface as api
+from calicomast.net.config import Address, read_address
+
+STATE = {"up": "up", "draining": "leaving", "removed": "down"}
+WAIT = 5.0  # s that discovery may hold a watch open
+ANSWER = 2.0  # s past that, or for the whole list, after which the call is given up
+BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries after a failure
+MOST_LIST = 8 * 1024 * 1024  # bytes of an answer
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """A list as the decision module takes it, and where each host listens."""
+
+    hosts: api.HostList
+    addresses: dict[str, Address]
+
+
+def read_list(told: dict[str, Any], mode: str | None = None) -> Listing:
+    """Raises ValueError if `told` is not a list of hosts in discovery's form."""
+    try:
+        hosts = tuple(api.Host(
+            id=str(s["id"]), zone=str(s.get("zone", "")), cell=int(s.get("cell", 0)),
+            weight=float(s.get("weight", 1.0)), kind=str(s.get("kind", "")), state=STATE[s["state"]],
+            started=float(s.get("started_ms") or 0) / 1000) for s in told["servers"])
+        addresses = {str(s["id"]): read_address(s["addr"]) for s in told["servers"] if s.get("addr")}
+        kind = mode or ("full" if told["full"] else "delta")
+        return Listing(api.HostList(kind, int(told["version"]), hosts), addresses)
+    except (KeyError, TypeError, AttributeError) as err:
+        raise ValueError(f"not a list of hosts: {type(err).__name__} {err}") from err
+
+
+class Discovery:
+    """`told` gets each list, `failed` hears of each call that failed."""
+
+    def __init__(self, address: Address, version: int, told: Callable[[Listing], None],
+                 failed: Callable[[], None]) -> None:
+        host, port = address
+        self.url = f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
+        self.version, self.told, self.failed = version, told, failed
+        self.session: aiohttp.ClientSession | None = None
+        self.watching: asyncio.Task[None] | None = None
+        self.fetching: set[asyncio.Task[None]] = set()
+
+    async def get(self, params: dict[str, int], limit: float) -> None:
+        if self.session is None:
+            self.session = aiohttp.ClientSession(trust_env=False)
+        async with self.session.get(self.url, params=params,
+                                    timeout=aiohttp.ClientTimeout(total=limit)) as answer:
+            answer.raise_for_status()
+            listing = read_list(await answer.json(content_type=None))
+        self.version = listing.hosts.version
+        self.told(listing)
+
+    async def attempt(self, params: dict[str, int], limit: float) -> bool:
+        try:
+            await self.get(params, limit)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as err:
+            log.warning("discovery: %s %s; the last list stays", type(err).__name__, err)
+            self.failed()
+            return False
+        return True
+
+    async def run(self) -> None:
+        pause, whole = BACKOFF_LEAST, True
+        while True:
+            if whole:
+                done = await self.attempt({}, ANSWER)
+            else:  # at once after the last answer: past 200 ms it would be a new watch
+                done = await self.attempt({"index": self.version, "wait": int(WAIT * 1000)}, WAIT + ANSWER)
+            if done:
+                pause, whole = BACKOFF_LEAST, False
+            else:
+                await asyncio.sleep(pause)
+                pause, whole = min(BACKOFF_MOST, 2 * pause), True
+
+    def watch(self, on: bool) -> None:
+        if on and self.watching is None:
+            self.watching = asyncio.get_running_loop().create_task(self.run())
+        elif not on and self.watching is not None:
+            self.watching.cancel()
+            self.watching = None
+
+    def fetch(self) -> None:
+        task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(self.attempt({}, ANSWER))
+        self.fetching.add(task)
+        task.add_done_callback(self.fetching.discard)
+
+    async def close(self) -> None:
+        self.watch(False)
+        if self.session is not None:
+            await self.session.close()
--- /dev/null
+++ b/calicomast/net/hosts.py
@@ -0,0 +1,311 @@
+"""Connections to hosts: attempts, their outcomes, probes.
+
+One attempt at a time on a connection: answers come in order, so a stuck one would hold up those behind it,
+and giving one up costs the connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import socket
+from collections.abc import Callable
+from time import monotonic
+from typing import Any
+
+import hiredis
+
+from calicomast.net.config import Address
+from calicomast.settings import read_report
+
+MOST_REPLY = 128 * 1024  # bytes of one answer
+IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
+IDLE_CHECK = 0.5  # s between looks for idle connections
+NO_REPLY = object()
+
+Report = dict[str, float]
+
+
+class Attempt:
+    """One command for one host. `done` gets it once, when `result` (of interface.RESULTS) is known."""
+
+    __slots__ = ("host", "payload", "done", "tag", "started", "result", "value", "used", "report", "conn",
+                 "timer")
+
+    def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None) -> None:
+        self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
+        self.result = ""
+        self.value: bytes | None = None
+        self.used = 0
+        self.report: Report = {}
+        self.conn: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def elapsed(self) -> float:
+        return monotonic() - self.started
+
+    def end(self, result: str) -> None:
+        if self.result:
+            return
+        self.result = result
+        if self.timer is not None:
+            self.timer.cancel()
+        self.done(self)
+
+    @property
+    def written(self) -> bool:
+        """Whether the socket took the last byte: from then on the request may have run."""
+        return self.conn is not None and self.conn.written
+
+
+def parse_report(text: object) -> Report:
+    """What a load report says; one that is missing or malformed says nothing."""
+    if isinstance(text, bytes):
+        text = text.decode("utf-8", "replace")
+    if not isinstance(text, str) or "=" not in text:
+        return {}
+    try:
+        report = read_report(pair.split("=", 1) for pair in text.split(","))
+    except ValueError:
+        return {}
+    return report if all(0 <= v < math.inf for v in report.values()) else {}
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self, pool: Pool, sock: socket.socket) -> None:
+        self.pool, self.sock = pool, sock
+        self.reader = hiredis.Reader(notEnoughData=NO_REPLY)
+        self.attempt: Attempt | None = None
+        self.written, self.received, self.idle_since = True, 0, 0.0
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        # With no room above the socket, pause_writing tells at once that it did not take every byte.
+        transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
+
+    def pause_writing(self) -> None:
+        self.written = False
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def start(self, attempt: Attempt) -> None:
+        assert self.transport is not None
+        self.attempt, attempt.conn, self.received = attempt, self, 0
+        self.transport.write(attempt.payload)
+        if self.transport.is_closing():  # the write failed at once, so the socket took nothing
+            self.written = False
+
+    def data_received(self, data: bytes) -> None:
+        attempt = self.attempt
+        if attempt is None:  # an answer that nobody waits for
+            self.close()
+            return
+        self.reader.feed(data)
+        self.received += len(data)
+        try:
+            reply = self.reader.gets()
+        except hiredis.ProtocolError:
+            self.close()
+            return
+        if reply is NO_REPLY:
+            if self.received > MOST_REPLY:
+                self.close()
+            return
+        self.attempt = None
+        result = read_reply(attempt, reply)
+        if self.reader.has_data():
+            self.close()
+        else:
+            self.pool.rest(self)
+        attempt.end(result)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Ends the connection now: the socket is shut at once, before another attempt can be sent."""
+        attempt, self.attempt = self.attempt, None
+        self.pool.drop(self)
+        if self.transport is not None and not self.transport.is_closing():
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+            self.transport.abort()
+        if attempt is not None:
+            attempt.end("reset" if self.written else "connect_failed")
+
+
+def read_reply(attempt: Attempt, reply: object) -> str:
+    """Fills in what the answer says and tells the outcome."""
+    if isinstance(reply, list):
+        if not reply or not isinstance(reply[0], bytes):
+            return "error"
+        attempt.value = reply[0]
+        if len(reply) > 1 and isinstance(reply[1], int):
+            attempt.used = reply[1]
+        if len(reply) > 2:
+            attempt.report = parse_report(reply[2])
+        return "ok"
+    if isinstance(reply, hiredis.ReplyError):
+        words = str(reply).split(" ")
+        attempt.report = parse_report(words[-1])
+        return "full" if words[0] == "BUSY" else "error"
+    if isinstance(reply, bytes):  # INFO load
+        attempt.report = parse_report(reply)
+        return "ok"
+    return "ok" if reply == "PONG" else "error"
+
+
+class Pool:
+    """The connections to one host: those that rest, the latest used last, and those that are coming up."""
+
+    def __init__(self, hosts: Hosts, address: Address) -> None:
+        self.hosts, self.address, self.up = hosts, address, True
+        self.idle: list[Connection] = []
+        self.coming: dict[Attempt, asyncio.Task[None]] = {}
+
+    def start(self, attempt: Attempt) -> None:
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.transport is not None and not conn.transport.is_closing():
+                conn.start(attempt)
+                return
+        if not self.hosts.room():
+            asyncio.get_running_loop().call_soon(attempt.end, "connect_failed")
+            return
+        self.hosts.open += 1
+        self.coming[attempt] = asyncio.get_running_loop().create_task(self.connect(attempt))
+
+    async def connect(self, attempt: Attempt) -> None:
+        loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        conn: Connection | None = None
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self.hosts.connect_timeout):
+                await loop.sock_connect(sock, self.address)
+                _, conn = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            waiting = self.coming.pop(attempt, None) is not None
+            if conn is None:
+                sock.close()
+                self.hosts.open -= 1
+        if conn is not None:
+            self.hosts.conns.add(conn)
+            if waiting and not attempt.result and self.up and not conn.transport.is_closing():
+                conn.start(attempt)
+                return
+            conn.close()
+        if waiting:
+            attempt.end("connect_failed")
+
+    def rest(self, conn: Connection) -> None:
+        if self.up:
+            conn.idle_since = monotonic()
+            self.idle.append(conn)
+        else:
+            conn.close()
+
+    def drop(self, conn: Connection) -> None:
+        if conn in self.idle:
+            self.idle.remove(conn)
+        if conn in self.hosts.conns:
+            self.hosts.conns.remove(conn)
+            self.hosts.open -= 1
+
+    def close_idle(self, before: float = math.inf) -> None:
+        for conn in [c for c in self.idle if c.idle_since < before]:
+            conn.close()
+
+    def stop(self) -> None:
+        """Nothing new goes to this address, nor what still waits for a connection to it."""
+        self.up = False
+        self.close_idle()
+        for attempt, task in list(self.coming.items()):
+            del self.coming[attempt]
+            task.cancel()
+            attempt.end("connect_failed")
+
+
+class Hosts:
+    def __init__(self, connect_timeout: float, idle_close: float, most: int) -> None:
+        self.connect_timeout, self.most = connect_timeout, most
+        self.idle_time = idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
+        self.pools: dict[str, Pool] = {}
+        self.conns: set[Connection] = set()
+        self.open = 0  # connections, those that are coming up among them
+        self.check: asyncio.TimerHandle | None = None
+
+    def listed(self, host: str, address: Address | None) -> None:
+        """Where the host is now; None: nothing new goes to it."""
+        pool = self.pools.get(host)
+        if pool is not None and pool.address != address:
+            pool.stop()
+            del self.pools[host]
+        if address is not None and host not in self.pools:
+            self.pools[host] = Pool(self, address)
+
+    def send(self, attempt: Attempt, timeout: float) -> None:
+        loop = asyncio.get_running_loop()
+        pool = self.pools.get(attempt.host)
+        if pool is None:
+            loop.call_soon(attempt.end, "connect_failed")
+            return
+        attempt.timer = loop.call_later(timeout, self.give_up, attempt, "timeout")
+        pool.start(attempt)
+
+    def probe(self, host: str, done: Callable[[Attempt], None]) -> None:
+        self.send(Attempt(host, b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n", done), self.connect_timeout)
+
+    def give_up(self, attempt: Attempt, result: str) -> None:
+        """Stops waiting. The connection goes too: a late answer must not meet the next request on it."""
+        if attempt.result:
+            return
+        conn = attempt.conn
+        if conn is None:
+            pool = self.pools.get(attempt.host)
+            task = pool.coming.pop(attempt, None) if pool else None
+            if task is not None:
+                task.cancel()
+            attempt.end("connect_failed")
+            return
+        if not conn.written:
+            result = "connect_failed"
+        conn.attempt = None
+        conn.close()
+        attempt.end(result)
+
+    def room(self) -> bool:
+        if self.open < self.most:
+            return True
+        oldest = min((p.idle[0] for p in self.pools.values() if p.idle), key=lambda c: c.idle_since,
+                     default=None)
+        if oldest is None:
+            return False
+        oldest.close()
+        return True
+
+    def close_idle(self, host: str) -> None:
+        if host in self.pools:
+            self.pools[host].close_idle()
+
+    def start_checks(self) -> None:
+        before = monotonic() - self.idle_time
+        for pool in self.pools.values():
+            if pool.idle and pool.idle[0].idle_since < before:
+                pool.close_idle(before)
+        self.check = asyncio.get_running_loop().call_later(IDLE_CHECK, self.start_checks)
+
+    def close(self) -> None:
+        if self.check is not None:
+            self.check.cancel()
+        for pool in self.pools.values():
+            pool.stop()
+        for conn in list(self.conns):
+            conn.close()
