Serve only arrays of a host; one line for every bad configuration; bound what clients can hold

Ruled out: array headers of billions of parts take no memory that counts, their parts are never touched.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -36,7 +36,7 @@
         self.reader = hiredis.Reader(notEnoughData=NO_REPLY)
         self.pending: deque[Slot] = deque()
         self.partial = 0  # bytes read of a command that is not whole yet
-        self.closing = self.paused = self.flooded = False
+        self.closing = self.broken = self.paused = self.flooded = False
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -52,7 +52,7 @@
                 self.server.handler.gone(slot)
 
     def data_received(self, data: bytes) -> None:
-        if self.closing:
+        if self.broken:
             return
         self.reader.feed(data)
         self.partial += len(data)
@@ -71,12 +71,13 @@
 
     def fail(self, answer: bytes) -> None:
         """Framing is lost: nothing more is read; what was taken is still answered first."""
-        self.closing = True
+        self.closing = self.broken = True
         slot = Slot(self)
         self.pending.append(slot)
         slot.reply(answer)
 
     def close_when_done(self) -> None:
+        """What still comes on it before that is served too: it was taken."""
         self.closing = True
         self.flush()
 
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -6,13 +6,11 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from calicomast import interface as api
+from calicomast.net.listing import Address, Listing, read_address, read_list
 from calicomast.settings import read_settings, seconds
 
-Address = tuple[str, int]
-
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why in one line."""
@@ -26,20 +24,13 @@
     counter: Address | None
     seed: int
     sockets: int  # file descriptors that the process may hold
-    known: dict[str, Any]  # the list of hosts as this gateway last had it, in discovery's form
+    known: Listing  # the hosts as this gateway last had them; it may be old
     settings: api.Settings
     connect_timeout: float
     idle_close: float  # hosts close a connection that has stood idle for this long
     max_open: int  # requests in work at once
 
 
-def read_address(text: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not (host and colon):
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return host.strip("[]"), int(port)
-
-
 def read_config(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("RELAY_CONFIG")
     if not path:
@@ -58,9 +49,10 @@
             listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
             discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
             counter=read_address(counter) if counter else None,
-            seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]), known=told["known"],
-            settings=settings, connect_timeout=seconds(limits["connect_timeout"]),
-            idle_close=seconds(limits["idle_close"]), max_open=int(limits["max_open"]))
+            seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
+            known=read_list(told["known"], "cached"), settings=settings,
+            connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
+            max_open=int(limits["max_open"]))
     except KeyError as err:
         raise ConfigError(f"{path}: missing or unknown {err}") from err
     except (OSError, ValueError, TypeError, AttributeError) as err:
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable
 from time import monotonic
 
-from calicomast.net.config import Address
+from calicomast.net.listing import Address
 
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
 SILENT = 2.0  # s without an answer that was due, after which a connection is held dead and made anew
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries to connect
+PING = -1  # in place of a name
 MOST_LINE = 4096  # bytes of an answer
 
 log = logging.getLogger(__name__)
@@ -88,7 +89,7 @@
             self.abort()
 
     def answer(self, words: list[bytes]) -> bool:
-        if not self.calls or not words:
+        if not self.calls or not words or (words[0] == b"pong") != (self.calls[0].name == PING):
             return False
         if words[0] == b"ok" and len(words) == 2:
             try:
@@ -117,7 +118,7 @@
             log.warning("counter: no answer for %.0f s, connecting again", SILENT)
             self.abort()
         elif not self.calls and now - self.used > KEEP_ALIVE:
-            self.write(Call(0, None), b"ping\r\n")
+            self.write(Call(PING, None), b"ping\r\n")
 
     async def keep(self) -> None:
         loop, pause = asyncio.get_running_loop(), BACKOFF_LEAST
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -5,45 +5,19 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 
-from calicomast import interface as api
-from calicomast.net.config import Address, read_address
+from calicomast.net.listing import Address, Listing, read_list
 
-STATE = {"up": "up", "draining": "leaving", "removed": "down"}
 WAIT = 5.0  # s that discovery may hold a watch open
 ANSWER = 2.0  # s past that, or for the whole list, after which the call is given up
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries after a failure
-MOST_LIST = 8 * 1024 * 1024  # bytes of an answer
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """A list as the decision module takes it, and where each host listens."""
-
-    hosts: api.HostList
-    addresses: dict[str, Address]
-
-
-def read_list(told: dict[str, Any], mode: str | None = None) -> Listing:
-    """Raises ValueError if `told` is not a list of hosts in discovery's form."""
-    try:
-        hosts = tuple(api.Host(
-            id=str(s["id"]), zone=str(s.get("zone", "")), cell=int(s.get("cell", 0)),
-            weight=float(s.get("weight", 1.0)), kind=str(s.get("kind", "")), state=STATE[s["state"]],
-            started=float(s.get("started_ms") or 0) / 1000) for s in told["servers"])
-        addresses = {str(s["id"]): read_address(s["addr"]) for s in told["servers"] if s.get("addr")}
-        kind = mode or ("full" if told["full"] else "delta")
-        return Listing(api.HostList(kind, int(told["version"]), hosts), addresses)
-    except (KeyError, TypeError, AttributeError) as err:
-        raise ValueError(f"not a list of hosts: {type(err).__name__} {err}") from err
-
-
 class Discovery:
     """`told` gets each list, `failed` hears of each call that failed."""
 
@@ -69,7 +43,7 @@
     async def attempt(self, params: dict[str, int], limit: float) -> bool:
         try:
             await self.get(params, limit)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as err:
+        except Exception as err:  # whatever it is, the watch must outlive it
             log.warning("discovery: %s %s; the last list stays", type(err).__name__, err)
             self.failed()
             return False
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -15,12 +15,15 @@
 from calicomast.net.clients import MOST_BODY, ClientServer, Slot
 from calicomast.net.config import Config
 from calicomast.net.counter import Counter
-from calicomast.net.discovery import Discovery, Listing, read_list
+from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
+from calicomast.net.listing import Listing
 from calicomast.policy import Gateway
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
+MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
+MOST_HELD = 48 * 1024 * 1024  # bytes of bodies in work past which requests are refused: memory is bounded
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 LINGER = 0.5  # s after SIGTERM in which connections still come
 FINISH = 3.4  # s after SIGTERM by which everything is answered: SIGKILL is not far
@@ -79,6 +82,7 @@
         self.loop = asyncio.get_running_loop()
         self.module = Gateway(config.settings, config.seed, self.clock())
         self.works: dict[str, Work] = {}
+        self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
         self.feeding = self.ready = self.stopping = False
         self.done = asyncio.Event()  # stopping, and nothing is in work
@@ -86,9 +90,8 @@
         self.clients = ClientServer(self, room // 2)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
-        known = read_list(config.known, "cached")
-        self.discovery = Discovery(config.discovery, known.hosts.version, self.listed, self.list_failed)
-        self.listed(known)
+        self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
+                                   self.list_failed)
         self.actions = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
             api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
@@ -97,7 +100,8 @@
             api.Log: lambda a: log.info("module: %s", a.text)}
 
     async def start(self) -> int:
-        """Returns the port that clients connect to."""
+        """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
+        self.listed(self.config.known)
         self.hosts.start_checks()
         if self.counter:
             self.counter.start()
@@ -121,12 +125,17 @@
 
     def handle(self, event: api.Event) -> None:
         try:
-            for action in self.module.handle(self.clock(), event):
-                self.actions[type(action)](action)
+            actions = self.module.handle(self.clock(), event)
         except Exception:  # one request must not take the others along
             log.exception("the module failed on %s", type(event).__name__)
             if isinstance(event, api.Request | api.Outcome) and event.id in self.works:
                 self.abandon(self.works[event.id])
+            return
+        for action in actions:
+            try:
+                self.actions[type(action)](action)
+            except Exception:  # nor one action the rest; the guard answers what it was for
+                log.exception("%r could not be carried out", action)
 
     def abandon(self, work: Work) -> None:
         """Fails a request by itself and lets the module forget it."""
@@ -136,13 +145,15 @@
         self.feed(api.Gone(work.id))
 
     def listed(self, listing: Listing) -> None:
-        if listing.hosts.mode != "delta":
-            named = {h.id for h in listing.hosts.hosts}
-            for host in [h for h in self.hosts.pools if h not in named]:
-                self.hosts.listed(host, None)
-        for host in listing.hosts.hosts:
-            self.hosts.listed(host.id, listing.addresses.get(host.id) if host.state == "up" else None)
+        """The module hears of it between new hosts and those that go: what ends with a host that goes is then
+        not sent there once more."""
+        up = {h.id for h in listing.hosts.hosts if h.state == "up"}
+        for host in up & listing.addresses.keys():
+            self.hosts.listed(host, listing.addresses[host])
         self.feed(listing.hosts)
+        named = {h.id for h in listing.hosts.hosts}
+        for host in (named if listing.hosts.mode == "delta" else named | self.hosts.pools.keys()) - up:
+            self.hosts.listed(host, None)
         self.ready = self.ready or bool(self.hosts.pools)
 
     def list_failed(self) -> None:
@@ -177,13 +188,14 @@
         request = self.read_request(command, write)
         if request.id in self.works:
             raise BadRequest("this id is in work")
-        if len(self.works) >= self.config.max_open:
+        if len(self.works) >= self.config.max_open or self.held > MOST_HELD:
             slot.reply(BUSY)
             return
         now = time.monotonic()
         work = Work(request.id, slot, command, now + request.left)
         slot.token = work
         self.works[request.id] = work
+        self.held += len(command[-1])
         work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
         self.feed(request)
 
@@ -197,13 +209,13 @@
             first = int(fields[b"first"])
             if len(customer) != 16 or int(customer, 16) < 0 or not name:
                 raise ValueError("customer or id")
-        except (KeyError, ValueError) as err:
+        except (KeyError, ValueError, OverflowError) as err:
             raise BadRequest("missing or odd field") from err
         if cls is None or plan not in self.settings.plans:
             raise BadRequest("unknown class or plan")
         if write == (cls.effect == "safe") or (cls.effect == "keyed" and not fields.get(b"k")):
             raise BadRequest("class does not go with this command")
-        if not 0 <= units < math.inf or spread < 1 or first < 0 or left < 0:
+        if not 0 <= units < math.inf or spread < 1 or first < 0 or not 0 <= left <= MOST_LEFT:
             raise BadRequest("field out of range")
         return api.Request(name.decode("latin-1"), left - WAY_BACK, customer.decode(), plan, cls.name, units,
                            first, spread, fields.get(b"r") == b"1", write)
@@ -236,8 +248,8 @@
         self.forget(work)
 
     def forget(self, work: Work) -> None:
-        if work.over and not work.live:
-            self.works.pop(work.id, None)
+        if work.over and not work.live and self.works.pop(work.id, None):
+            self.held -= len(work.command[-1])
             if self.stopping and not self.works:
                 self.done.set()
 
@@ -274,7 +286,7 @@
         if over and result == "connect_failed":
             result = "moot"  # called off before it was sent, which says nothing of the host
         elif result == "ok" and not over:
-            self.finish(work, bulk(attempt.value or b""))
+            self.finish(work, bulk(attempt.value))
         self.forget(work)
         self.feed(api.Outcome(work.id, number, attempt.host, result, attempt.elapsed(), work.over,
                               used=attempt.used, report=attempt.report))
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -16,13 +16,14 @@
 
 import hiredis
 
-from calicomast.net.config import Address
+from calicomast.net.listing import Address
 from calicomast.settings import read_report
 
 MOST_REPLY = 128 * 1024  # bytes of one answer
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
 NO_REPLY = object()
+PROBE = object()  # the tag of an attempt that is a probe
 
 Report = dict[str, float]
 
@@ -36,7 +37,7 @@
     def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None) -> None:
         self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
         self.result = ""
-        self.value: bytes | None = None
+        self.value = b""
         self.used = 0
         self.report: Report = {}
         self.conn: Connection | None = None
@@ -152,10 +153,10 @@
         words = str(reply).split(" ")
         attempt.report = parse_report(words[-1])
         return "full" if words[0] == "BUSY" else "error"
-    if isinstance(reply, bytes):  # INFO load
+    if isinstance(reply, bytes) and attempt.tag is PROBE:
         attempt.report = parse_report(reply)
         return "ok"
-    return "ok" if reply == "PONG" else "error"
+    return "error"  # no value of a host: serving anything for it would be made up
 
 
 class Pool:
@@ -261,7 +262,7 @@
         pool.start(attempt)
 
     def probe(self, host: str, done: Callable[[Attempt], None]) -> None:
-        self.send(Attempt(host, b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n", done), self.connect_timeout)
+        self.send(Attempt(host, b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n", done, PROBE), self.connect_timeout)
 
     def give_up(self, attempt: Attempt, result: str) -> None:
         """Stops waiting. The connection goes too: a late answer must not meet the next request on it."""
--- /dev/null
+++ b/tests/test_net_process.py
@@ -0,0 +1,60 @@
+"""The program as the platform runs it: configuration, readiness, signals."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
+
+ROOT = Path(__file__).resolve().parent.parent
+PING = b"*1\r\n$4\r\nPING\r\n"
+PROGRAM = [sys.executable, "-B", "-m", "calicomast.net"]
+
+
+def spoilt(**kw):
+    return json.dumps(told([], 1, 2) | kw)
+
+
+@pytest.mark.parametrize("text, word", [
+    (None, "RELAY_CONFIG"), ("{", "Expecting"), ("[]", "list"), ("{}", "settings"),
+    (spoilt(seed="xyz"), "xyz"), (spoilt(listen="nowhere"), "nowhere"),
+    (spoilt(counter=""), "counter"), (spoilt(settings={}), "limits"),
+    (spoilt(known={"version": 1}), "list of hosts"), (spoilt(listen="127.0.0.1:99999999"), "99999999"),
+])
+def test_a_bad_configuration_is_one_plain_line(text, word, tmp_path):
+    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+    if text is not None:
+        (tmp_path / "config.json").write_text(text)
+        env["RELAY_CONFIG"] = str(tmp_path / "config.json")
+    ended = subprocess.run(PROGRAM, cwd=ROOT, env=env, capture_output=True, text=True, timeout=60)
+    assert ended.returncode != 0
+    assert ended.stderr.startswith("calicomast: ") and ended.stderr.count("\n") == 1 and word in ended.stderr
+
+
+@on_loop
+async def test_sigterm_ends_the_program_after_what_it_has_taken(tmp_path):
+    async with StubHost(None) as host, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
+        program = await asyncio.create_subprocess_exec(
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+        port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(PING)
+        assert await read_reply(reader) == b"+PONG\r\n"
+        writer.write(command())
+        await host.arrived.get()
+        program.send_signal(signal.SIGTERM)
+        ping_reader, ping_writer = await asyncio.open_connection("127.0.0.1", port)
+        ping_writer.write(PING)
+        while await read_reply(ping_reader) == b"+PONG\r\n":  # until it has heard of its end
+            ping_writer.write(PING)
+        host.writers[0].write(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+        assert await read_reply(reader) == SERVED
+        assert await program.wait() == 0
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -6,7 +6,20 @@
 import time
 
 import pytest
-from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, command, entry, on_loop, read_reply, write
+from netkit import (
+    SERVED,
+    SETTINGS,
+    VALUE,
+    Node,
+    StubHost,
+    command,
+    entry,
+    on_loop,
+    read_reply,
+    write,
+)
+
+from calicomast import interface as api
 
 
 def terms(**kw):
@@ -42,7 +55,7 @@
     command(terms=terms(c="none")), command(terms=terms(t="none")), command(terms=terms(units="nan")),
     command(terms=terms(spread="0")), command(terms=terms(c="note")), command(terms=b"\xff\xfe"),
     command(terms=terms(c=None)), command(customer=b"xyz"), command(id=b""), command(body=b"BODY"),
-    command(terms=terms(d="9" * 400)), command(terms=terms(units="1e999")),
+    command(terms=terms(d="9" * 400)), command(terms=terms(d="9" * 12)), command(terms=terms(units="1e999")),
     command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
     command(terms=terms(c="note"), verb=b"API.WRITE", body=b"x" * 65537),
 ])
@@ -68,6 +81,35 @@
         assert await node.ask(command()) == SERVED
 
 
+@pytest.mark.parametrize("odd", [b"+OK\r\n", b"$2\r\nOK\r\n", b"*0\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n",
+                                 b":1\r\n", b"*1\r\n:1\r\n", b"nonsense\r\n", b"$-1\r\n"])
+@on_loop
+async def test_what_is_no_value_of_a_host_is_not_served(odd, tmp_path):
+    async with StubHost(odd) as host, Node(host, path=tmp_path) as node:
+        assert (await node.ask(write(cls=b"note"))).startswith(b"-ERR")
+        host.answer = VALUE
+        assert await node.ask(command(b"r2")) == SERVED
+
+
+@on_loop
+async def test_a_probe_brings_the_load_report(tmp_path):
+    async with StubHost(b"$8\r\nactive=7\r\n") as host, Node(host, path=tmp_path) as node:
+        seen, done = [], asyncio.Event()
+
+        class Watcher:
+            def handle(self, now, event):
+                if isinstance(event, api.Probed):
+                    seen.append(event)
+                    done.set()
+                return []
+
+        node.node.module = Watcher()
+        node.node.probe(api.Probe("h1"))
+        await done.wait()
+        assert host.commands == [[b"INFO", b"load"]]
+        assert seen[0].result == "ok" and seen[0].report == {"inflight": 7.0}
+
+
 @on_loop
 async def test_answers_come_in_the_order_of_the_commands(tmp_path):
     async with StubHost(answer=None) as host, Node(host, path=tmp_path) as node:
@@ -214,7 +256,7 @@
         for n in range(300):
             delay = 0.0101 + n * 0.00037
             due[n] = node.node.clock() + delay
-            node.node.set_timer(type("T", (), {"delay": delay, "label": n}))
+            node.node.set_timer(api.SetTimer(delay, n))
         await clocked.done.wait()
         assert clocked.early == []
 
