--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -86,7 +86,7 @@
         self.events: deque[api.Event] = deque()
         self.feeding = self.ready = self.stopping = False
         self.done = asyncio.Event()  # stopping, and nothing is in work
-        room = config.sockets - SPARE_SOCKETS
+        room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
         self.clients = ClientServer(self, room // 2)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -20,6 +20,7 @@
 )
 
 from calicomast import interface as api
+from calicomast.net.listing import read_list
 
 
 def terms(**kw):
@@ -135,6 +136,7 @@
 async def test_a_late_answer_reaches_nobody(tmp_path):
     async with StubHost(answer=None) as host, Node(host, path=tmp_path) as node:
         assert (await node.ask(write(cls=b"note", d=300))).startswith(b"-ERR")
+        assert await host.arrived.get() and await host.arrived.get() is None  # the connection went too
         host.writers[0].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
         host.answer = VALUE
         assert await node.ask(command(b"r2")) == SERVED
@@ -188,22 +190,23 @@
 
 
 @on_loop
-async def test_the_counter_is_asked_and_a_late_answer_keeps_its_place(tmp_path):
+async def test_a_late_answer_of_the_counter_keeps_its_place(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+        counter, results = node.node.counter, asyncio.Queue()
+
+        def add(amount):
+            counter.add(8, amount, 4, lambda name, *told: results.put_nowait(told[:2]))
+
+        while counter.lines[0].transport is None:
+            await asyncio.sleep(0)
         node.counter.silent = True
-        small = terms(t="small", spread="4")
-        asked = [asyncio.create_task(node.ask(command(b"r%d" % n, terms=small))) for n in range(3)]
-        name = (await node.counter.arrived.get())[1]
-        assert all(reply for reply in await asyncio.gather(*asked))
-        totals = []
-        line = node.node.counter.lines[int(name) % len(node.node.counter.lines)]
-        line.calls[-1].timer.cancel() if line.calls[-1].timer else None
-        done = asyncio.Event()
+        add(1)
+        assert (await results.get())[0] == "timeout"
         node.counter.silent = False
-        node.counter.answer_all()  # the late one, then that of this call
-        node.node.counter.add(int(name), 5, 4, lambda n, r, total, e: (totals.append((r, total)), done.set()))
-        await done.wait()
-        assert totals == [("ok", node.counter.totals[name])]
+        add(2)
+        node.counter.answer_all()  # the first answer comes now, before or behind the second's request
+        assert await results.get() == ("ok", 3.0)
+        assert [words[1:] for words in node.counter.calls] == [[b"8", b"1", b"4000"], [b"8", b"2", b"4000"]]
 
 
 @on_loop
@@ -351,3 +354,129 @@
             await node.connect()
 
 
+
+
+@on_loop
+async def test_the_module_hears_of_a_drain_before_what_ends_by_it(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        seen, done = [], asyncio.Event()
+
+        class Sender:
+            def handle(self, now, event):
+                seen.append(type(event))
+                if isinstance(event, api.Outcome):
+                    seen.append(event.result)
+                    done.set()
+                    return [api.Fail(event.id)]
+                return [api.Send(event.id, "h1")] if isinstance(event, api.Request) else []
+
+        node.node.module = Sender()
+        asked = asyncio.create_task(node.ask(command()))
+        pool = node.node.hosts.pools["h1"]
+        while not pool.coming:  # the attempt waits for its connection
+            await asyncio.sleep(0)
+        seen.clear()
+        node.node.listed(read_list({"version": 2, "full": False, "servers": [entry(host, "h1", "draining")]}))
+        await done.wait()
+        assert seen == [api.HostList, api.Outcome, "connect_failed"]
+        assert (await asked).startswith(b"-ERR") and not host.commands
+
+
+@on_loop
+async def test_what_comes_on_a_connection_that_is_to_close_is_served(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"first"))
+        await host.arrived.get()
+        node.node.clients.finish()
+        writer.write(command(b"second"))
+        while (await host.arrived.get())[2] != b"second":
+            pass
+        for out in host.writers:
+            out.write(VALUE)
+        assert [await read_reply(reader) for _ in range(3)] == [SERVED, SERVED, b""]
+
+
+@on_loop
+async def test_an_attempt_called_off_has_left_the_host_before_the_next_goes_out(tmp_path):
+    """Where second copies are not allowed, one attempt's connection must end before the next is written."""
+    async with StubHost(None) as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        class Mover:
+            def handle(self, now, event):
+                if isinstance(event, api.Request):
+                    return [api.Send(event.id, "h1")]
+                return [api.Send(event.id, "h2")] if getattr(event, "result", "") == "cancelled" else []
+
+        node.node.module = Mover()
+        asked = asyncio.create_task(node.ask(command()))
+        await one.arrived.get()
+        (attempt,) = node.node.works["r1"].live.values()
+        ended = attempt.conn.sock
+        node.node.cancel(api.Cancel("r1", 0))
+        with pytest.raises(OSError):  # the socket was shut at once, not in a later turn of the loop
+            ended.send(b"x")
+        assert await one.arrived.get() is None
+        assert await asked == SERVED and len(two.commands) == 1
+
+
+@on_loop
+async def test_a_second_copy_is_not_sent_where_it_is_not_allowed(tmp_path):
+    async with StubHost(None) as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        class Doubler:
+            results = []
+
+            def handle(self, now, event):
+                if isinstance(event, api.Request):
+                    return [api.Send(event.id, "h1"), api.Send(event.id, "h2")]
+                if isinstance(event, api.Outcome):
+                    self.results.append(event.result)
+                    return [api.Fail(event.id)]
+                return []
+
+        node.node.module = Doubler()
+        assert (await node.ask(command())).startswith(b"-ERR")
+        assert Doubler.results[0] == "moot" and not two.commands
+
+
+@on_loop
+async def test_the_counter_is_connected_again_and_unwritten_calls_are_told(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        counter, results = node.node.counter, asyncio.Queue()
+
+        def add():
+            counter.add(8, 1, 4, lambda name, result, total, elapsed: results.put_nowait(result))
+
+        while counter.lines[0].transport is None:
+            await asyncio.sleep(0)
+        node.counter.silent = True
+        add()
+        await node.counter.arrived.get()
+        for writer in node.counter.writers:
+            writer.transport.abort()
+        assert await results.get() == "timeout"  # it was written, so it may have been added
+        add()
+        assert await results.get() == "connect_failed"
+        node.counter.silent = False
+        while counter.lines[0].transport is None:
+            await asyncio.sleep(0.01)
+        add()
+        assert await results.get() == "ok"
+
+
+@pytest.mark.parametrize("odd", [b"ok\r\n", b"ok many\r\n", b"pong\r\n", b"ok inf\r\n", b"x" * 5000,
+                                 b"what\r\n"])
+@on_loop
+async def test_odd_answers_of_the_counter_cost_only_the_connection(odd, tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        counter, results = node.node.counter, asyncio.Queue()
+        while counter.lines[0].transport is None:
+            await asyncio.sleep(0)
+        old, node.counter.silent = counter.lines[0].transport, True
+        counter.add(8, 1, 4, lambda name, result, total, elapsed: results.put_nowait(result))
+        await node.counter.arrived.get()
+        for writer in node.counter.writers:
+            writer.write(odd)
+        assert await results.get() == "timeout"
+        while counter.lines[0].transport in (None, old):
+            await asyncio.sleep(0.01)
+        assert await node.ask(command()) == SERVED
