Count connections that come up instead of keeping a tally that could leak

Seen in reading hosts.py: Pool.connect took itself off Hosts.open in its 'finally', which a task cancelled before its first step never enters; a new test with two allowed connections and five attempts called off at once got no connection any more. The figure is now counted from what is there. A socket that could not be made (no descriptor left) left its attempt waiting until the deadline; it now ends at once.

--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -176,27 +176,26 @@
         if not self.hosts.room():
             asyncio.get_running_loop().call_soon(attempt.end, "connect_failed")
             return
-        self.hosts.open += 1
         self.coming[attempt] = asyncio.get_running_loop().create_task(self.connect(attempt))
 
     async def connect(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock: socket.socket | None = None
         conn: Connection | None = None
         try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.hosts.connect_timeout):
                 await loop.sock_connect(sock, self.address)
                 _, conn = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
-        except (OSError, TimeoutError):
+        except (OSError, ValueError):  # refused, out of time or descriptors, or no address at all
             pass
         finally:
             waiting = self.coming.pop(attempt, None) is not None
-            if conn is None:
+            if conn is None and sock is not None:
                 sock.close()
-                self.hosts.open -= 1
         if conn is not None:
             self.hosts.conns.add(conn)
             if waiting and not attempt.result and self.up and not conn.transport.is_closing():
@@ -216,9 +215,7 @@
     def drop(self, conn: Connection) -> None:
         if conn in self.idle:
             self.idle.remove(conn)
-        if conn in self.hosts.conns:
-            self.hosts.conns.remove(conn)
-            self.hosts.open -= 1
+        self.hosts.conns.discard(conn)
 
     def close_idle(self, before: float = math.inf) -> None:
         for conn in [c for c in self.idle if c.idle_since < before]:
@@ -240,7 +237,6 @@
         self.idle_time = idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
         self.pools: dict[str, Pool] = {}
         self.conns: set[Connection] = set()
-        self.open = 0  # connections, those that are coming up among them
         self.check: asyncio.TimerHandle | None = None
 
     def listed(self, host: str, address: Address | None) -> None:
@@ -282,6 +278,12 @@
         conn.close()
         attempt.end(result)
 
+    @property
+    def open(self) -> int:
+        """Connections, those that are coming up among them. Counted, not kept: a task that is cancelled
+        before its first step could not take itself off again."""
+        return len(self.conns) + sum(len(pool.coming) for pool in self.pools.values())
+
     def room(self) -> bool:
         if self.open < self.most:
             return True
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -20,6 +20,7 @@
 )
 
 from calicomast import interface as api
+from calicomast.net.hosts import Attempt
 from calicomast.net.listing import read_list
 
 
@@ -480,3 +481,17 @@
         while counter.lines[0].transport in (None, old):
             await asyncio.sleep(0.01)
         assert await node.ask(command()) == SERVED
+
+
+@on_loop
+async def test_connects_called_off_before_they_began_take_no_room(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        hosts = node.node.hosts
+        hosts.most = 2
+        for _ in range(5):
+            attempt = Attempt("h1", command(), lambda attempt: None)
+            hosts.send(attempt, 3.0)
+            hosts.give_up(attempt, "cancelled")
+            assert attempt.result == "connect_failed"
+        assert await node.ask(command()) == SERVED
+        assert len(host.commands) == 1
