--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -154,14 +154,16 @@
 
 
 class StubDiscovery:
-    """Serves `raw` where it is set, else the list; `change` ends a watch with an entry."""
+    """Serves `raw` where it is set, else the list; `changes` ends a watch; `silent`: it never answers."""
 
     def __init__(self):
-        self.servers, self.version, self.raw = [], 1, None
+        self.servers, self.version, self.raw, self.silent = [], 1, None, False
         self.calls, self.changes = asyncio.Queue(), asyncio.Queue()
 
     async def answer(self, request):
         self.calls.put_nowait(dict(request.query))
+        if self.silent:
+            await asyncio.Event().wait()
         if self.raw is not None:
             raw, self.raw = self.raw, None
             return web.Response(text=raw)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -6,6 +6,7 @@
 from netkit import SERVED, Node, StubHost, command, entry, on_loop
 
 from calicomast import interface as api
+from calicomast.net import discovery
 from calicomast.net.listing import read_list
 
 
@@ -75,3 +76,21 @@
         await done.wait()
         assert seen == [api.HostList, api.Outcome, "connect_failed"]
         assert (await asked).startswith(b"-ERR") and not host.commands
+
+
+@on_loop
+async def test_silent_discovery_is_asked_again_while_the_last_list_serves(tmp_path, monkeypatch):
+    monkeypatch.setattr(discovery, "WAIT", 0.1)
+    monkeypatch.setattr(discovery, "ANSWER", 0.2)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        node.discovery.silent = True
+        for _ in range(2):
+            while "index" in await node.discovery.calls.get():
+                pass  # a watch that failed is followed by calls for the whole list
+        assert await node.ask(command()) == SERVED
+        node.discovery.silent = False
+        while "index" not in await node.discovery.calls.get():
+            pass  # it watches again
+        assert await node.ask(command(b"r2")) == SERVED
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -58,3 +58,21 @@
         host.writers[0].write(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
         assert await read_reply(reader) == SERVED
         assert await program.wait() == 0
+
+
+@on_loop
+async def test_a_killed_gateway_starts_again_at_its_address(tmp_path):
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [entry(host)]
+        config, port = tmp_path / "config.json", 0
+        for life in (b"first", b"second"):
+            text = told([entry(host)], discovery.port, counter.port) | {"listen": f"127.0.0.1:{port}"}
+            config.write_text(json.dumps(text))
+            program = await asyncio.create_subprocess_exec(
+                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+            port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(command(life))
+            assert await read_reply(reader) == SERVED
+            program.kill()
+            assert await program.wait() == -signal.SIGKILL
