SIGHUP takes up a new configuration instead of ending the program

Cause: __main__.serve set handlers for SIGTERM and SIGINT only; nothing could move discovery or the counter. Checked: RELAY_DISCOVERY in the environment still names the old address, so read_config(again=True) lets the file's win. A counter line is used until the one that replaces it is up, then ends with its last answer; the new watch begins with the whole list. A bad file is logged and the old one stays. Test: SIGHUP with a bad and a good file, twice in a row and beside SIGTERM; seen failing without the change.

--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -20,6 +20,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     node = GatewayNode(config)
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
     port = await node.start()
     gc.freeze()  # what the start made stays for good: no collection need look at it again
     logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
@@ -27,6 +28,14 @@
     await node.stop()
 
 
+def reload(node: GatewayNode) -> None:
+    """SIGHUP: the file of the configuration was replaced. One that cannot be used leaves the old in force."""
+    try:
+        node.reload(read_config(again=True))
+    except ConfigError as err:
+        logging.getLogger(__name__).error("the old configuration stays: %s", err)
+
+
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -31,7 +31,9 @@
     max_open: int  # requests in work at once
 
 
-def read_config(env: Mapping[str, str] = os.environ) -> Config:
+def read_config(env: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """`again`: the file was replaced while the program runs, so the discovery that it names is newer than the
+    one that the environment named at the start."""
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
@@ -47,7 +49,7 @@
         return Config(
             name=env.get("RELAY_NAME") or told["name"],
             listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
-            discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
+            discovery=read_address((not again and env.get("RELAY_DISCOVERY")) or told["discovery"]),
             counter=read_address(counter) if counter else None,
             seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
             known=read_list(told["known"], "cached"), settings=settings,
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -42,8 +42,9 @@
 class Line(asyncio.Protocol):
     """One connection, made again whenever it is lost."""
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, address: Address, up: Callable[[Line], None]) -> None:
+        self.address, self.up, self.task = address, up, asyncio.get_running_loop().create_task(self.keep())
+        self.retired = False  # another took its place: it ends with the last answer that it waits for
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered
         self.rest, self.blocked, self.used = b"", False, 0.0
@@ -54,6 +55,7 @@
         # pause_writing then tells at once that the socket did not take a whole call.
         transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
         self.rest, self.blocked, self.used = b"", False, monotonic()
+        self.up(self)
 
     def pause_writing(self) -> None:
         self.blocked = True
@@ -68,6 +70,15 @@
             call.end("timeout")
         self.lost.set()
 
+    def retire(self) -> None:
+        self.retired = True
+        if not self.calls:
+            self.close()
+
+    def close(self) -> None:
+        self.task.cancel()
+        self.abort()
+
     def write(self, call: Call, text: bytes) -> bool:
         """False if nothing of it was written."""
         if self.transport is None or self.blocked or self.transport.is_closing():
@@ -87,6 +98,8 @@
         if len(self.rest) > MOST_LINE:
             log.warning("counter: an answer without end")
             self.abort()
+        elif self.retired and not self.calls:
+            self.close()
 
     def answer(self, words: list[bytes]) -> bool:
         if not self.calls or not words or (words[0] == b"pong") != (self.calls[0].name == PING):
@@ -117,12 +130,12 @@
             # A machine that vanished says nothing, and its connections stay open for good.
             log.warning("counter: no answer for %.0f s, connecting again", SILENT)
             self.abort()
-        elif not self.calls and now - self.used > KEEP_ALIVE:
+        elif not self.calls and not self.retired and now - self.used > KEEP_ALIVE:
             self.write(Call(PING, None), b"ping\r\n")
 
     async def keep(self) -> None:
         loop, pause = asyncio.get_running_loop(), BACKOFF_LEAST
-        while True:
+        while not self.retired:
             self.lost.clear()
             try:
                 async with asyncio.timeout(1.0):
@@ -142,20 +155,38 @@
 
 class Counter:
     def __init__(self, address: Address, timeout: float) -> None:
-        self.timeout = timeout
-        self.lines = [Line(address) for _ in range(LINES)]
-        self.tasks: list[asyncio.Task[None]] = []
+        self.timeout, self.address = timeout, address
+        self.lines: list[Line] = []
+        self.next: dict[int, Line] = {}  # by their place: lines to a new address until they are up
+        self.old: set[Line] = set()  # lines to an old address until their last answer
+        self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        loop = asyncio.get_running_loop()
-        work = [*(line.keep() for line in self.lines), self.checks()]
-        self.tasks = [loop.create_task(one) for one in work]
+        self.lines = [self.line() for _ in range(LINES)]
+        self.task = asyncio.get_running_loop().create_task(self.checks())
+
+    def line(self) -> Line:
+        return Line(self.address, self.came_up)
+
+    def move(self, address: Address) -> None:
+        """The counter is elsewhere. Each line is used until the one that replaces it is up."""
+        self.address = address
+        for line in self.next.values():
+            line.close()
+        self.next = {place: self.line() for place in range(LINES)}
+
+    def came_up(self, line: Line) -> None:
+        for place in [place for place, new in self.next.items() if new is line]:
+            replaced, self.lines[place] = self.lines[place], self.next.pop(place)
+            self.old.add(replaced)
+            replaced.retire()
 
     async def checks(self) -> None:
         while True:
             await asyncio.sleep(0.5)
-            for line in self.lines:
+            for line in [*self.lines, *self.old]:
                 line.check()
+            self.old = {line for line in self.old if line.calls}
 
     def add(self, name: int, amount: float, lifetime: float, done: Done) -> None:
         call = Call(name, done)
@@ -167,7 +198,7 @@
             loop.call_soon(call.end, "connect_failed")
 
     def close(self) -> None:
-        for task in self.tasks:
-            task.cancel()
-        for line in self.lines:
-            line.abort()
+        if self.task is not None:
+            self.task.cancel()
+        for line in [*self.lines, *self.next.values(), *self.old]:
+            line.close()
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -75,6 +75,9 @@
         task.add_done_callback(self.fetching.discard)
 
     async def close(self) -> None:
+        """Nothing is told from now on."""
         self.watch(False)
+        for task in self.fetching:
+            task.cancel()
         if self.session is not None:
             await self.session.close()
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -93,6 +93,7 @@
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
                                    self.list_failed)
+        self.endings: set[asyncio.Task[None]] = set()  # what a new configuration replaced, until it has ended
         self.actions = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
             api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
@@ -110,6 +111,24 @@
             self.discovery.watch(True)
         return await self.clients.listen(*self.config.listen)
 
+    def reload(self, config: Config) -> None:
+        """Goes over to the addresses of a new configuration. The rest of it holds from the next start on."""
+        if self.stopping:
+            return
+        old, self.config = self.config, config
+        if (old.settings, old.listen, old.sockets) != (config.settings, config.listen, config.sockets):
+            log.warning("only new addresses of discovery and counter are taken up before the next start")
+        if self.counter and config.counter:
+            self.counter.move(config.counter)
+        replaced = self.discovery
+        self.discovery = Discovery(config.discovery, replaced.version, self.listed, self.list_failed)
+        if replaced.watching:  # the watch begins with the whole list: another service has versions of its own
+            self.discovery.watch(True)
+        ending = self.loop.create_task(replaced.close())
+        self.endings.add(ending)
+        ending.add_done_callback(self.endings.discard)
+        log.info("new configuration: discovery %s:%d", *config.discovery)
+
     # Events
 
     def feed(self, event: api.Event) -> None:
@@ -344,4 +363,4 @@
         self.hosts.close()
         if self.counter:
             self.counter.close()
-        await self.discovery.close()
+        await asyncio.gather(self.discovery.close(), *self.endings)
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from netkit import SERVED, Node, StubHost, command, on_loop
+from netkit import SERVED, Node, StubCounter, StubHost, command, on_loop
 
 
 @on_loop
@@ -68,3 +68,29 @@
         while counter.lines[0].transport in (None, old):
             await asyncio.sleep(0.01)
         assert await node.ask(command()) == SERVED
+
+
+@on_loop
+async def test_calls_to_an_old_address_get_their_answers_and_its_lines_end(tmp_path):
+    async with StubCounter() as new, StubHost() as host, Node(host, path=tmp_path) as node:
+        counter, results = node.node.counter, asyncio.Queue()
+
+        def add(amount):
+            counter.add(8, amount, 4, lambda name, *told: results.put_nowait(told[:2]))
+
+        counter.timeout = 10.0
+        while any(line.transport is None for line in counter.lines):
+            await asyncio.sleep(0)
+        old, node.counter.silent = list(counter.lines), True
+        add(1)
+        await node.counter.arrived.get()
+        counter.move(("127.0.0.1", new.port))
+        counter.move(("127.0.0.1", new.port))  # twice in a row does no harm
+        while counter.next:
+            await asyncio.sleep(0.001)
+        add(5)
+        assert (await results.get()) == ("ok", 5.0) and [c[2] for c in new.calls] == [b"5"]
+        node.counter.answer_all()
+        assert (await results.get()) == ("ok", 1.0)
+        await asyncio.wait([line.task for line in old])
+        assert all(line.transport is None or line.transport.is_closing() for line in old)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -11,6 +11,8 @@
 import pytest
 from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
 
+from calicomast.net.counter import LINES
+
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
 PROGRAM = [sys.executable, "-B", "-m", "calicomast.net"]
@@ -76,3 +78,39 @@
             assert await read_reply(reader) == SERVED
             program.kill()
             assert await program.wait() == -signal.SIGKILL
+
+
+@on_loop
+async def test_sighup_moves_to_the_addresses_in_the_file(tmp_path):
+    async with (StubHost(None) as host, StubHost() as new, StubCounter() as counter,
+                StubCounter() as counter2, StubDiscovery() as discovery, StubDiscovery() as discovery2):
+        discovery.servers, discovery2.servers, discovery2.version = [entry(host)], [entry(new, "h2")], 1
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
+        env = {**os.environ, "RELAY_CONFIG": str(config), "RELAY_DISCOVERY": f"127.0.0.1:{discovery.port}"}
+        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+        port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(command(b"before"))
+        await host.arrived.get()
+        config.write_text("{")  # cannot be used: the old one stays
+        program.send_signal(signal.SIGHUP)
+        assert b"the old configuration stays" in await program.stderr.readline()
+        config.write_text(json.dumps(told([], discovery2.port, counter2.port)))
+        program.send_signal(signal.SIGHUP)
+        assert "index" not in await discovery2.calls.get()  # the environment names the old one still
+        assert "index" in await discovery2.calls.get()
+        while len(counter2.writers) < LINES:
+            await asyncio.sleep(0.01)
+        for n in range(4):
+            reader2, writer2 = await asyncio.open_connection("127.0.0.1", port)
+            writer2.write(command(b"after%d" % n))
+            assert await read_reply(reader2) == SERVED
+        assert len(new.commands) == 4 and len(host.commands) == 1
+        host.writers[0].write(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+        assert await read_reply(reader) == SERVED  # what was out at the time is served all the same
+        program.send_signal(signal.SIGHUP)
+        program.send_signal(signal.SIGHUP)
+        program.send_signal(signal.SIGTERM)
+        program.send_signal(signal.SIGHUP)
+        assert await program.wait() == 0
