Time out silent clients, bound what they hold, take only the protocol's forms of fields

Cause: read_request took units=0 (the division), units past units_top, sets past the number of gateways and every form that int() and float() know; so bad clients spent usual customers' quotas (over_quota cost). clients.py had no time-outs, no bound on those that do not read, and queued the error for lost framing behind answers in work. Now: 2.2 s for idle ones and half commands, unless bytes wait in the socket; what is in work is failed at once when framing is lost, and the close is no reset; the longest idle goes at the limit; bytes held follow memory_mb. Tests for each over loopback.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -1,15 +1,28 @@
-"""The server that clients connect to: reads commands, answers in order, notes clients that left."""
+"""The server that clients connect to: reads commands, answers in order, notes clients that left.
+
+Each connection is busy (commands in work), `idle` (none, perhaps half a command) or `ending` (its last byte
+is written or being written). The last two end by time, so none is kept for good.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import termios
 from collections import deque
-from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 from calicomast.net.framing import NO_MESSAGE, Framing, FramingError
 
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
+IDLE = 2.2  # s without a command in work, or with half a one, after which a connection is closed
+ENDING = 1.0  # s that a closing connection has for its last bytes: its client may never read them
+STUCK = 5.0  # s without the client taking its answers: it may never do so
+SWEEP = 0.25  # s between looks for those
+MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
+MOST_LOOKED_AT = 8  # idle connections asked for unread bytes when one has to go
+FAILED = b"-ERR failed\r\n"
 
 
 class Slot:
@@ -23,8 +36,9 @@
         self.token: Any = None  # what the handler keeps of a command that it has not answered yet
 
     def reply(self, answer: bytes) -> None:
-        self.answer = answer
-        self.client.flush()
+        if self.answer is None:
+            self.answer = answer
+            self.client.flush()
 
 
 class Client(asyncio.Protocol):
@@ -32,6 +46,7 @@
         self.server = server
         self.framing = Framing()
         self.pending: deque[Slot] = deque()
+        self.partial = self.dropped = 0  # bytes of half a command; those behind lost framing
         self.closing = self.broken = self.paused = self.flooded = False
         self.transport: asyncio.Transport
 
@@ -49,24 +64,50 @@
 
     def data_received(self, data: bytes) -> None:
         if self.broken:
+            self.dropped += len(data)
+            if self.dropped > MOST_DROPPED:  # one that goes on sending would take CPU for nothing
+                self.transport.abort()
             return
         self.framing.feed(data)
         try:
             while (command := self.framing.take()) is not NO_MESSAGE:
                 slot = Slot(self)
                 self.pending.append(slot)
+                self.server.idle.pop(self, None)
                 self.server.handler.command(slot, command)
         except FramingError:
             self.fail(b"-ERR protocol error\r\n")
+            return
+        if not self.server.hold(self, len(self.framing.buffer)):
+            self.fail(b"-ERR too much in work\r\n")
+            return
         self.throttle()
 
     def fail(self, answer: bytes) -> None:
-        """Framing is lost: nothing more is read; what was taken is still answered first."""
-        self.closing = self.broken = True
+        """Nothing that follows can be read. What is in work is failed: the client is not to wait for it."""
+        self.broken = self.closing = True
+        self.server.hold(self, 0)
+        for slot in list(self.pending):
+            if slot.answer is None:
+                slot.answer = FAILED
+                self.server.handler.gone(slot)
         slot = Slot(self)
         self.pending.append(slot)
         slot.reply(answer)
 
+    def expire(self) -> None:
+        if self.unread():
+            return  # it asks just now
+        if self.partial:
+            self.fail(b"-ERR command not finished in time\r\n")
+        else:
+            self.close_when_done()
+
+    def unread(self) -> bool:
+        """Whether the socket holds bytes that were not read yet."""
+        told = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0\0\0\0")
+        return told != b"\0\0\0\0"
+
     def close_when_done(self) -> None:
         """What still comes on it before that is served too: it was taken."""
         self.closing = True
@@ -77,17 +118,29 @@
         while pending and (answer := pending[0].answer) is not None:
             pending.popleft()
             self.transport.write(answer)
-        if self.closing and not pending:
-            self.transport.close()
-        elif self.flooded:
+        if not pending:
+            self.server.rest(self)
+            if self.closing:
+                self.end()
+                return
+        if self.flooded:
             self.throttle()
 
+    def end(self) -> None:
+        self.server.ending.setdefault(self, monotonic())
+        if self.broken and not self.transport.is_closing():
+            self.transport.write_eof()  # closing with input unread would be a reset, which can eat the error
+        else:
+            self.transport.close()
+
     def pause_writing(self) -> None:
         self.paused = True
+        self.server.stuck[self] = monotonic()
         self.throttle()
 
     def resume_writing(self) -> None:
         self.paused = False
+        self.server.stuck.pop(self, None)
         self.throttle()
 
     def throttle(self) -> None:
@@ -99,30 +152,70 @@
 
 
 class ClientServer:
-    """`handler` has command(slot, command) and gone(slot)."""
-
-    def __init__(self, handler: Any, most: int) -> None:
-        self.handler, self.most = handler, most
-        self.clients: dict[Client, None] = {}  # in order of their coming
+    """`handler` has command(slot, command) and gone(slot). At most `most` connections; at most `most_partial`
+    bytes of half commands on all of them."""
+
+    def __init__(self, handler: Any, most: int, most_partial: int) -> None:
+        self.handler, self.most, self.most_partial, self.partial = handler, most, most_partial, 0
+        self.clients: set[Client] = set()
+        self.idle: dict[Client, float] = {}  # since when, oldest first
+        self.ending: dict[Client, float] = {}
+        self.stuck: dict[Client, float] = {}
         self.listener: asyncio.Server | None = None
-        self.on_empty: Callable[[], None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
+        self.sweep()
         return self.listener.sockets[0].getsockname()[1]
 
     def joined(self, client: Client) -> None:
-        self.clients[client] = None
-        if len(self.clients) > self.most:  # under the descriptor limit: one that is between requests goes
-            idle = next((c for c in self.clients if not c.pending and not c.closing), None)
-            if idle is not None:
-                idle.close_when_done()
+        self.clients.add(client)
+        if len(self.clients) > self.most and not self.make_room():  # descriptors are limited
+            client.transport.write(b"-ERR too many connections\r\n")
+            client.closing = client.broken = True
+            client.transport.close()
+            return
+        self.rest(client)
+
+    def make_room(self) -> bool:
+        """Lets a connection go that is ending anyhow, else the one that is idle for longest."""
+        for client in self.ending:
+            client.transport.abort()
+            return True
+        for client in [c for c, _ in zip(self.idle, range(MOST_LOOKED_AT), strict=False)]:
+            if not client.unread():
+                client.transport.close()
+                client.closing = True
+                return True
+        return False
 
     def left(self, client: Client) -> None:
-        self.clients.pop(client, None)
-        if not self.clients and self.on_empty:
-            self.on_empty()
+        self.clients.discard(client)
+        self.hold(client, 0)
+        for place in (self.idle, self.ending, self.stuck):
+            place.pop(client, None)
+
+    def rest(self, client: Client) -> None:
+        self.idle.pop(client, None)
+        if not client.closing:
+            self.idle[client] = monotonic()
+
+    def hold(self, client: Client, partial: int) -> bool:
+        """Counts the bytes of half a command; False if that is too much for all connections together."""
+        self.partial += partial - client.partial
+        client.partial = partial
+        return not partial or self.partial <= self.most_partial
+
+    def sweep(self) -> None:
+        now = monotonic()
+        for client in [c for c, since in self.idle.items() if since < now - IDLE]:
+            client.expire()
+        for place, most in ((self.ending, ENDING), (self.stuck, STUCK)):
+            for client in [c for c, since in place.items() if since < now - most]:
+                client.transport.abort()
+        self.timer = asyncio.get_running_loop().call_later(SWEEP, self.sweep)
 
     def finish(self) -> None:
         """No new connections; each one that there is closes once all it asked has been answered."""
@@ -130,3 +223,7 @@
             self.listener.close()
         for client in list(self.clients):
             client.close_when_done()
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -23,6 +23,7 @@
     discovery: Address
     counter: Address | None
     seed: int
+    memory: int  # bytes past which the process is killed
     sockets: int  # file descriptors that the process may hold
     known: Listing  # the hosts as this gateway last had them; it may be old
     settings: api.Settings
@@ -51,7 +52,8 @@
             listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
             discovery=read_address((not again and env.get("RELAY_DISCOVERY")) or told["discovery"]),
             counter=read_address(counter) if counter else None,
-            seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
+            seed=int(told["seed"], 16), memory=int(told["limits"]["memory_mb"]) * 1024 * 1024,
+            sockets=int(told["limits"]["sockets"]),
             known=read_list(told["known"], "cached"), settings=settings,
             connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
             max_open=int(limits["max_open"]))
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -9,11 +9,12 @@
 import asyncio
 import logging
 import math
+import re
 import time
 from collections import deque
 
 from calicomast import interface as api
-from calicomast.net.clients import ClientServer, Slot
+from calicomast.net.clients import FAILED, ClientServer, Slot
 from calicomast.net.config import Config
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
@@ -25,12 +26,12 @@
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
 MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
-MOST_HELD = 48 * 1024 * 1024  # bytes of bodies in work past which requests are refused: memory is bounded
+OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
+LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 LINGER = 0.5  # s after SIGTERM in which connections still come
 FINISH = 3.4  # s after SIGTERM by which everything is answered: SIGKILL is not far
 
-FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
 PONG = b"+PONG\r\n"
 
@@ -74,6 +75,24 @@
     return b"$%d\r\n%s\r\n" % (len(data), data)
 
 
+# The protocol's forms: int() and float() take blanks, signs, `1_0`, `0x1` and more besides.
+WHOLE, DECIMAL = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2 ** 33
+NAME = re.compile(rb"[!-~]{1,64}")  # ids and keys
+
+
+def whole(text: bytes) -> int:
+    if not WHOLE.fullmatch(text):
+        raise ValueError("not a whole number")
+    return int(text)
+
+
+def decimal(text: bytes) -> float:
+    if not DECIMAL.fullmatch(text):
+        raise ValueError("not a number")
+    return float(text)
+
+
 class BadRequest(Exception):
     """Why a command cannot be taken."""
 
@@ -89,7 +108,9 @@
         self.feeding = self.ready = self.stopping = False
         self.done = asyncio.Event()  # stopping, and nothing is in work
         room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
-        self.clients = ClientServer(self, room // 2)
+        # Bodies in work and half commands are bounded: past the limit of memory the program is killed.
+        self.most_held = max(LEAST_HELD, (config.memory - OWN_MEMORY) // 4)
+        self.clients = ClientServer(self, room // 2, self.most_held)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
@@ -209,7 +230,7 @@
         request = self.read_request(command, write)
         if request.id in self.works:
             raise BadRequest("this id is in work")
-        if len(self.works) >= self.config.max_open or self.held > MOST_HELD:
+        if len(self.works) >= self.config.max_open or self.held > self.most_held:
             slot.reply(BUSY)
             return
         now = time.monotonic()
@@ -221,24 +242,30 @@
         self.feed(request)
 
     def read_request(self, command: list[bytes], write: bool) -> api.Request:
-        verb, customer, name, terms = command[:4]
+        _, customer, name, terms = command[:4]
+        pairs = [term.split(b"=", 1) for term in terms.split(b",")]
         try:
-            fields = dict(term.split(b"=", 1) for term in terms.split(b","))
+            fields = dict(pairs)
             cls = self.settings.classes.get(fields[b"c"].decode())
             plan = fields[b"t"].decode()
-            left, units, spread = int(fields[b"d"]) / 1000, float(fields[b"units"]), int(fields[b"spread"])
-            first = int(fields[b"first"])
-            if len(customer) != 16 or int(customer, 16) < 0 or not name:
-                raise ValueError("customer or id")
-        except (KeyError, ValueError, OverflowError) as err:
+            left, units = whole(fields[b"d"]) / 1000, decimal(fields[b"units"])
+            spread, first = whole(fields[b"spread"]), whole(fields[b"first"])
+        except (KeyError, ValueError) as err:
             raise BadRequest("missing or odd field") from err
+        if len(fields) != len(pairs):
+            raise BadRequest("a field twice")
+        if not (CUSTOMER.fullmatch(customer) and int(customer, 16) < MOST_CUSTOMERS and NAME.fullmatch(name)):
+            raise BadRequest("odd customer or id")
         if cls is None or plan not in self.settings.plans:
             raise BadRequest("unknown class or plan")
-        if write == (cls.effect == "safe") or (cls.effect == "keyed" and not fields.get(b"k")):
+        keyless = cls.effect == "keyed" and not NAME.fullmatch(fields.get(b"k", b""))
+        if write == (cls.effect == "safe") or keyless:
             raise BadRequest("class does not go with this command")
-        if not 0 <= units < math.inf or spread < 1 or first < 0 or not 0 <= left <= MOST_LEFT:
+        gateways = self.settings.gateways
+        if not (0 < units <= self.settings.most_units and 1 <= spread <= gateways and first < gateways
+                and left <= MOST_LEFT):
             raise BadRequest("field out of range")
-        return api.Request(name.decode("latin-1"), left - WAY_BACK, customer.decode(), plan, cls.name, units,
+        return api.Request(name.decode(), left - WAY_BACK, customer.decode().lower(), plan, cls.name, units,
                            first, spread, fields.get(b"r") == b"1", write)
 
     def gone(self, slot: Slot) -> None:
@@ -361,6 +388,7 @@
                 for work in list(self.works.values()):
                     self.abandon(work)
         await asyncio.sleep(0)  # the last answers are written at the end of this turn
+        self.clients.close()
         self.hosts.close()
         if self.counter:
             self.counter.close()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -1,8 +1,13 @@
 """Clients: bad input, the order of answers, those that leave."""
 
+import asyncio
+import contextlib
+
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
 
+from calicomast.net import clients
+
 
 @pytest.mark.parametrize("bad", [
     b"*1\r\n$7\r\nUNKNOWN\r\n", b"*0\r\n", b"*-1\r\n", b":5\r\n", b"*2\r\n$8\r\nAPI.READ\r\n:0\r\n",
@@ -10,6 +15,11 @@
     command(terms=terms(c="none")), command(terms=terms(t="none")), command(terms=terms(units="nan")),
     command(terms=terms(spread="0")), command(terms=terms(c="note")), command(terms=b"\xff\xfe"),
     command(terms=terms(c=None)), command(customer=b"xyz"), command(id=b""), command(body=b"BODY"),
+    command(terms=terms(d="1_0")), command(terms=terms(d="+10")), command(terms=terms(d=" 10")),
+    command(terms=terms(units="0")), command(terms=terms(units="2")), command(terms=terms(units="1_0")),
+    command(terms=terms(spread="2")), command(terms=terms(first="1")), command(terms=terms(first="-1")),
+    command(customer=b"0x000000b4d65521"), command(customer=b"ffffffffb4d65521"), command(id=b"x" * 65),
+    command(terms=terms() + b",d=2000"),
     command(terms=terms(d="9" * 400)), command(terms=terms(d="9" * 12)), command(terms=terms(units="1e999")),
     command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
     command(terms=terms(c="note"), verb=b"API.WRITE", body=b"x" * 65537),
@@ -74,3 +84,94 @@
         for out in host.writers:
             out.write(VALUE)
         assert [await read_reply(reader) for _ in range(3)] == [SERVED, SERVED, b""]
+
+
+@pytest.mark.parametrize("sent, told", [(b"", b""), (b"*4\r\n$8\r\nAPI.R", b"-ERR"),
+                                        (b"*1\r\n$4\r\nPING\r\n", b"+PONG")])
+@on_loop
+async def test_a_connection_without_a_request_is_closed_in_time(sent, told, tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "IDLE", 0.1)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(sent)
+        assert (await read_reply(reader)).startswith(told)
+        assert await reader.read() == b""
+        while node.node.clients.clients:
+            await asyncio.sleep(0.01)
+        assert not (node.node.clients.idle or node.node.clients.ending or node.node.clients.partial)
+
+
+@on_loop
+async def test_a_connection_with_a_request_in_work_is_not_idle(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "IDLE", 0.1)
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        idle, _ = await node.connect()
+        writer.write(command())
+        await host.arrived.get()
+        assert await idle.read() == b""  # this one went, some sweeps later
+        host.writers[0].write(VALUE)
+        assert await read_reply(reader) == SERVED
+
+
+@on_loop
+async def test_lost_framing_does_not_wait_for_what_is_in_work(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command())
+        await host.arrived.get()
+        writer.write(b"nonsense" + b"x" * 100_000)
+        assert await read_reply(reader) == b"-ERR failed\r\n"  # its one answer, though the host is silent
+        assert (await read_reply(reader)).startswith(b"-ERR protocol")
+        assert await reader.read() == b""  # an end, not a reset, though there was more to read
+        assert await host.arrived.get() is None and not node.node.works
+
+
+@on_loop
+async def test_who_takes_no_answers_is_let_go(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "STUCK", 0.1)
+    async with StubHost(b"*3\r\n$60000\r\n%s\r\n$-1\r\n$-1\r\n" % (b"v" * 60000)) as host:
+        async with Node(host, path=tmp_path) as node:
+            _, writer = await node.connect()
+            writer.transport.pause_reading()
+            with contextlib.suppress(ConnectionError):
+                for n in range(400):
+                    writer.write(command(b"r%d" % n))
+                    await writer.drain()
+            while node.node.clients.clients:
+                await asyncio.sleep(0.01)
+            assert not (node.node.works or node.node.held)
+
+
+@on_loop
+async def test_at_the_limit_the_longest_idle_goes_and_with_all_busy_the_newcomer(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        node.node.clients.most = 2
+        node.node.module.fleet.limit = 100.0
+        first, _ = await node.connect()
+        busy = []
+        for n in range(2):
+            reader, writer = await node.connect()
+            writer.write(command(b"r%d" % n))
+            await host.arrived.get()
+            busy.append(reader)
+        assert await first.read() == b""
+        last, _ = await node.connect()
+        assert (await read_reply(last)).startswith(b"-ERR too many") and await last.read() == b""
+        for writer in host.writers:
+            writer.write(VALUE)
+        assert [await read_reply(reader) for reader in busy] == [SERVED, SERVED]
+
+
+@on_loop
+async def test_half_commands_together_are_bounded(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.node.clients.most_partial = 100_000
+        readers = []
+        for _ in range(3):
+            reader, writer = await node.connect()
+            writer.write(b"*5\r\n$60000\r\n" + b"x" * 40_000)
+            readers.append(asyncio.create_task(read_reply(reader)))
+        done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
+        assert [task.result() for task in done] == [b"-ERR too much in work\r\n"]
+        assert await node.ask(command()) == SERVED
