Look at a host's connection before it is used again; odd reports, entries and versions do no harm

Cause (by reading, shown by the tests): hosts.Pool used a connection in the turn of its last answer, so a second copy still in the socket would be read as the next answer; connect() could close a descriptor that a cancelled create_connection had closed already; parse_report took 1_0, blanks and any size into the module's means; read_list threw a whole list away, drains too, for one odd entry; changes to an older list were taken. Now a connection rests 2 ms and is peeked at, which also finds one that the host has closed; an exception while an answer is read ends that attempt; discovery's answers are bounded; the log is held to 5 lines a second. Tests for each over loopback, five seen failing without the change (the rest guard what already held).

--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -13,6 +13,25 @@
 from calicomast.net.config import Config, ConfigError, read_config
 from calicomast.net.gateway import GatewayNode
 
+MOST_LINES = 5  # of the log in a second
+
+
+class Seldom(logging.Filter):
+    """A few lines a second: CPU is rationed, and trouble that repeats must not take it for logging."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second, self.left, self.dropped = 0, 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self.second:
+            if self.dropped:
+                record.msg = f"({self.dropped} lines left out) {record.msg}"
+            self.second, self.left, self.dropped = int(record.created), MOST_LINES, 0
+        self.left -= 1
+        self.dropped += self.left < 0
+        return self.left >= 0
+
 
 async def serve(config: Config) -> None:
     told = asyncio.Event()
@@ -38,6 +57,7 @@
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logging.getLogger().handlers[0].addFilter(Seldom())
     try:
         uvloop.run(serve(read_config()))
     except (ConfigError, OSError) as err:
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +14,7 @@
 
 WAIT = 5.0  # s that discovery may hold a watch open
 ANSWER = 2.0  # s past that, or for the whole list, after which the call is given up
+MOST_LIST = 1024 * 1024  # bytes of an answer: one without end must not fill the memory
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries after a failure
 
 log = logging.getLogger(__name__)
@@ -36,7 +38,14 @@
         async with self.session.get(self.url, params=params,
                                     timeout=aiohttp.ClientTimeout(total=limit)) as answer:
             answer.raise_for_status()
-            listing = read_list(await answer.json(content_type=None))
+            body = bytearray()
+            async for chunk in answer.content.iter_any():
+                body += chunk
+                if len(body) > MOST_LIST:
+                    raise ValueError("an answer without end")
+        listing = read_list(json.loads(body))
+        if listing.hosts.mode == "delta" and listing.hosts.version < self.version:
+            raise ValueError("changes to an older list than the last")  # they may bring back what is gone
         self.version = listing.hosts.version
         self.told(listing)
 
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import contextlib
+import logging
 import math
+import re
 import socket
 from collections.abc import Callable
 from time import monotonic
@@ -20,12 +22,17 @@
 from calicomast.net.listing import Address
 from calicomast.settings import read_report
 
+REST = 0.002  # s after an answer in which what came behind it, a second copy or noise, can still show itself
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
+MOST_LOAD = 10_000.0  # of any figure in a load report; one beyond would spoil the means for long
 MOST_USED = 1_000_000  # percent of a customer's rate; more than that is no figure on use
 PROBE = object()  # the tag of an attempt that is a probe
 
 Report = dict[str, float]
+REPORT = re.compile(r"(\w+=([0-9]{1,9}(\.[0-9]{1,9})?)?(,|$))+")  # the protocol's form; float() takes more
+
+log = logging.getLogger(__name__)
 
 
 class Attempt:
@@ -64,25 +71,25 @@
     """What a load report says; one that is missing or malformed says nothing."""
     if isinstance(text, bytes):
         text = text.decode("utf-8", "replace")
-    if not isinstance(text, str) or "=" not in text:
-        return {}
-    try:
-        report = read_report(pair.split("=", 1) for pair in text.split(","))
-    except ValueError:
+    if not isinstance(text, str) or not REPORT.fullmatch(text):
         return {}
-    return report if all(0 <= v < math.inf for v in report.values()) else {}
+    report = read_report(pair.split("=", 1) for pair in text.rstrip(",").split(","))
+    return report if all(v <= MOST_LOAD for v in report.values()) else {}
 
 
 class Connection(asyncio.Protocol):
-    def __init__(self, pool: Pool, sock: socket.socket) -> None:
-        self.pool, self.sock = pool, sock
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
         self.framing = Framing()
         self.attempt: Attempt | None = None
         self.written, self.idle_since = True, 0.0
         self.transport: asyncio.Transport | None = None
+        self.sock: socket.socket | None = None  # the transport's own descriptor, let go of in close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        told = transport.get_extra_info("socket")
+        self.sock = socket.socket(told.family, socket.SOCK_STREAM, 0, told.fileno())
         # With no room above the socket, pause_writing tells at once that it did not take every byte.
         transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
 
@@ -92,6 +99,17 @@
     def resume_writing(self) -> None:
         self.written = True
 
+    def quiet(self) -> bool:
+        """Whether nothing is to be read, not even the end: what follows an answer is never the next one."""
+        try:
+            assert self.sock is not None
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     def start(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.conn = attempt, self
@@ -113,6 +131,10 @@
         except FramingError:  # the request has run, and where the next answer would begin is not known
             self.close()
             return
+        except Exception:  # nobody else would end this attempt before its time is up
+            log.exception("an answer could not be read")
+            self.close()
+            return
         self.attempt = None
         if self.framing.buffer:  # more than belongs to this answer: the next would be read from it
             self.close()
@@ -127,10 +149,13 @@
         """Ends the connection now: the socket is shut at once, before another attempt can be sent."""
         attempt, self.attempt = self.attempt, None
         self.pool.drop(self)
-        if self.transport is not None and not self.transport.is_closing():
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
-            self.transport.abort()
+        sock, self.sock = self.sock, None
+        if sock is not None:
+            if self.transport is not None and not self.transport.is_closing():
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+                self.transport.abort()
+            sock.detach()  # the transport closes the descriptor
         if attempt is not None:
             attempt.end("reset" if self.written else "connect_failed")
 
@@ -165,11 +190,13 @@
         self.coming: dict[Attempt, asyncio.Task[None]] = {}
 
     def start(self, attempt: Attempt) -> None:
-        while self.idle:
-            conn = self.idle.pop()
-            if conn.transport is not None and not conn.transport.is_closing():
+        rested = monotonic() - REST
+        for conn in [conn for conn in reversed(self.idle) if conn.idle_since <= rested]:
+            if conn.quiet():
+                self.idle.remove(conn)
                 conn.start(attempt)
                 return
+            conn.close()
         if not self.hosts.room():
             asyncio.get_running_loop().call_soon(attempt.end, "connect_failed")
             return
@@ -177,22 +204,14 @@
 
     async def connect(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
-        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
-        sock: socket.socket | None = None
         conn: Connection | None = None
         try:
-            sock = socket.socket(family, socket.SOCK_STREAM)
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.hosts.connect_timeout):
-                await loop.sock_connect(sock, self.address)
-                _, conn = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
+                _, conn = await loop.create_connection(lambda: Connection(self), *self.address)
         except (OSError, ValueError):  # refused, out of time or descriptors, or no address at all
             pass
         finally:
             waiting = self.coming.pop(attempt, None) is not None
-            if conn is None and sock is not None:
-                sock.close()
         if conn is not None:
             self.hosts.conns.add(conn)
             if waiting and not attempt.result and self.up and not conn.transport.is_closing():
--- a/calicomast/net/listing.py
+++ b/calicomast/net/listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -27,15 +28,35 @@
     addresses: dict[str, Address]
 
 
+def read_entry(told: dict[str, Any]) -> tuple[api.Host, Address | None]:
+    state, started = STATE[told["state"]], float(told.get("started_ms") or 0) / 1000
+    weight, cell = float(told.get("weight", 1.0)), int(told.get("cell", 0))
+    if not (isinstance(told["id"], str) and 0 <= weight < math.inf and 0 <= started < math.inf):
+        raise ValueError("id, weight or start out of range")
+    host = api.Host(id=told["id"], zone=str(told.get("zone", "")), cell=cell, weight=weight,
+                    kind=str(told.get("kind", "")), state=state, started=started)
+    return host, read_address(told["addr"]) if told.get("addr") else None
+
+
 def read_list(told: dict[str, Any], mode: str | None = None) -> Listing:
-    """Raises ValueError if `told` is not a list of hosts in discovery's form."""
+    """Raises ValueError if `told` is not a list of hosts in discovery's form. An entry that cannot be read is
+    left out; the others, drains among them, are heard all the same."""
+    hosts: list[api.Host] = []
+    addresses: dict[str, Address] = {}
     try:
-        hosts = tuple(api.Host(
-            id=str(s["id"]), zone=str(s.get("zone", "")), cell=int(s.get("cell", 0)),
-            weight=float(s.get("weight", 1.0)), kind=str(s.get("kind", "")), state=STATE[s["state"]],
-            started=float(s.get("started_ms") or 0) / 1000) for s in told["servers"])
-        addresses = {str(s["id"]): read_address(s["addr"]) for s in told["servers"] if s.get("addr")}
         kind = mode or ("full" if told["full"] else "delta")
-        return Listing(api.HostList(kind, int(told["version"]), hosts), addresses)
-    except (KeyError, TypeError, AttributeError) as err:
+        version = int(told["version"])
+        entries = list(told["servers"])
+    except (KeyError, TypeError, ValueError, AttributeError) as err:
         raise ValueError(f"not a list of hosts: {type(err).__name__} {err}") from err
+    for entry in entries:
+        try:
+            host, address = read_entry(entry)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+            continue
+        hosts.append(host)
+        if address is not None:
+            addresses[host.id] = address
+    if entries and not hosts:
+        raise ValueError("not a list of hosts: no entry can be read")
+    return Listing(api.HostList(kind, version, tuple(hosts)), addresses)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -1,6 +1,7 @@
 """Lists of hosts: changes, drains, malformed answers."""
 
 import asyncio
+import json
 
 import pytest
 from netkit import SERVED, Node, StubHost, command, entry, on_loop
@@ -52,6 +53,31 @@
         assert await node.ask(command(b"r2")) == SERVED
 
 
+@on_loop
+async def test_an_odd_entry_does_not_hide_the_drains_beside_it(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        await node.discovery.calls.get()
+        node.discovery.changes.put_nowait([
+            {"id": "h9"}, None, entry(two, "h8") | {"weight": "x"}, entry(one, "h1", "draining"),
+            entry(two, "h7") | {"addr": "nowhere"}, entry(two, "h6", "odd")])
+        while (await node.discovery.calls.get()).get("index") != "2":
+            pass
+        assert set(node.node.hosts.pools) == {"h2"}
+
+
+@on_loop
+async def test_changes_to_an_older_list_are_not_taken(tmp_path):
+    async with StubHost() as one, Node(one, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        gone = entry(one, "h1", "removed")
+        node.discovery.raw = json.dumps({"version": 0, "full": False, "servers": [gone]})
+        node.discovery.changes.put_nowait([])
+        while "index" in await node.discovery.calls.get():
+            pass  # it asks for the whole list again
+        assert await node.ask(command()) == SERVED
+
+
 @on_loop
 async def test_the_module_hears_of_a_drain_before_what_ends_by_it(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -7,6 +7,7 @@
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, terms, write
 
 from calicomast import interface as api
+from calicomast.net import hosts
 from calicomast.net.hosts import Attempt
 
 
@@ -14,7 +15,8 @@
 async def test_a_report_that_says_nothing_sound_is_ignored(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         for n, report in enumerate((b"$-1\r\n", b"$3\r\n???\r\n", b"$10\r\nactive=nan\r\n",
-                                    b"$9\r\nactive=-1\r\n",
+                                    b"$9\r\nactive=-1\r\n", b"$10\r\nactive=1_0\r\n", b"$3\r\n=,=\r\n",
+                                    b"$12\r\nactive=99999\r\n", b"$10\r\nactive= 1 \r\n",
                                     b":7\r\n", b"$8\r\nactive=x\r\n")):
             host.answer = b"*3\r\n$1\r\nv\r\n$-1\r\n" + report
             assert await node.ask(command(b"r%d" % n)) == b"$1\r\nv\r\n"
@@ -91,7 +93,8 @@
 
 
 @on_loop
-async def test_one_connection_is_used_again_and_closed_before_the_host_would(tmp_path):
+async def test_one_connection_is_used_again_and_closed_before_the_host_would(tmp_path, monkeypatch):
+    monkeypatch.setattr(hosts, "REST", 0.0)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         for n in range(3):
             assert await node.ask(command(b"r%d" % n)) == SERVED
@@ -150,3 +153,52 @@
             assert attempt.result == "connect_failed"
         assert await node.ask(command()) == SERVED
         assert len(host.commands) == 1
+
+
+@pytest.mark.parametrize("together", [True, False])
+@on_loop
+async def test_what_comes_behind_an_answer_is_never_the_next_one(together, tmp_path):
+    """A second copy may still wait in the socket when the next request is sent off."""
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        for n in range(3):
+            asked = asyncio.create_task(node.ask(command(b"a%d" % n)))
+            while not (got := await host.arrived.get()):
+                pass
+            own = b"*3\r\n$2\r\n%s\r\n$-1\r\n$-1\r\n" % got[2]
+            writer = host.writers[-1]
+            if together:
+                writer.write(own + own)
+            else:  # two packets: the gateway reads the first alone
+                writer.write(own)
+                conns = [c for c in node.node.hosts.conns if c.attempt is not None]
+                while any(c.attempt is not None for c in conns):
+                    await asyncio.sleep(0)
+                writer.write(own)
+            assert await asked == b"$2\r\na%d\r\n" % n
+
+
+@on_loop
+async def test_a_connection_is_looked_at_before_it_is_used_again(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert await node.ask(command(b"a")) == SERVED
+        pool = node.node.hosts.pools["h1"]
+        (conn,) = pool.idle
+        conn.idle_since -= 1.0
+        assert conn.quiet()
+        conn.transport.pause_reading()  # as if the loop had not come round to it
+        host.writers[0].write(b"*3\r\n$5\r\nother\r\n$-1\r\n$-1\r\n")
+        await host.writers[0].drain()
+        while conn.quiet():
+            await asyncio.sleep(0)
+        assert await node.ask(command(b"b")) == SERVED
+        assert len(host.writers) == 2 and conn not in node.node.hosts.conns
+
+
+@on_loop
+async def test_an_answer_that_cannot_be_handled_ends_its_attempt(tmp_path, monkeypatch):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        with monkeypatch.context() as patch:
+            patch.setattr("calicomast.net.hosts.read_reply", lambda *_: 1 / 0)
+            assert (await node.ask(write(cls=b"note"))).startswith(b"-ERR")
+        assert not node.node.hosts.conns
+        assert await node.ask(command(b"r2")) == SERVED
