Drop hosts that are gone and customers that came once from the module's memory

Cause (by reading): Fleet.servers and Doubt.hosts kept every id ever listed, and listed() ran over all of them; accounts let one go a request and stopped behind a busy oldest one, 60 s after its last request. Now a host is forgotten 30 s after it is gone, once nothing is out there; accounts after 20 s or three windows, four looked at with each request.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -31,7 +31,9 @@
 LOAD_COST = 0.2  # least cost of a unit sent on beyond quota, in its worth: it loads what all share
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
 BACKOFF_MOST = 1.0  # s; longest pause between tries of a counter that does not answer
-OPEN_EPOCH, IDLE_MOST = 5.0, 60.0  # s; life of a count of open attempts, and of an idle account
+OPEN_EPOCH, IDLE_MOST = 5.0, 20.0  # s; life of a count of open attempts; least life of an idle account
+FREED_AT_ONCE = 4  # idle accounts looked at with each request: more than come, so that they never pile up
+GONE_MOST = 30.0  # s that a host which is gone is known: longer than any attempt or repeat on it matters
 CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
 PRESSED, PRESS_SPAN = 0.5, 1.5  # part of answers from congested servers that sheds work; s taken over
 SHED_FAST, SHED_BACK, SHED_LEAST = 0.7, 0.15, 0.05  # 1/s down, 1/s up, least part that still passes
@@ -195,11 +197,15 @@
             self.hosts[host, key] = (q, now)
             self.pool[key] = min(DOUBT_MOST, max(DOUBT_LEAST, pool + GAIN * (q - pool)))
 
+    def forget(self, host: str) -> None:
+        self.hosts = {key: known for key, known in self.hosts.items() if key[0] != host}
+
 
 class Server:
     def __init__(self, host: api.Host, now: float, credit: float, out: dict) -> None:
         self.host, self.up, self.out = host, host.state == "up", out  # attempts out: when sent
         self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
+        self.gone_at = math.inf
         self.credit, self.credit_at, self.dice = credit, now, credit  # sends it may get from here while cold
 
     def warmth(self, now: float, rules: api.Rules) -> float:
@@ -225,7 +231,8 @@
         if event.mode not in ("delta", "failed"):
             named = {h.id for h in event.hosts}
             for name, server in self.servers.items():
-                server.up = server.up and name in named
+                if name not in named:
+                    server.up, server.gone_at = False, min(server.gone_at, now)
         for host in event.hosts:
             old = self.servers.get(host.id)
             if old is None or (host.state == "up" and host.started > old.host.started):
@@ -233,9 +240,18 @@
                 self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {})
             else:
                 old.host, old.up = host, host.state == "up"
+            server = self.servers[host.id]
+            server.gone_at = min(server.gone_at, now) if host.state == "down" else math.inf
+        self.forget(now)
         self.up = [s for s in self.servers.values() if s.up]
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
 
+    def forget(self, now: float) -> None:
+        """Hosts come under ever new ids: what is gone for long, with nothing out there, is dropped."""
+        for name in [name for name, s in self.servers.items() if now - s.gone_at > GONE_MOST and not s.out]:
+            del self.servers[name]
+            self.doubt.forget(name)
+
     def mean_held(self) -> float:
         return self.held if self.reports else self.out * self.set.gateways / max(1, len(self.up))
 
@@ -294,7 +310,9 @@
 
     def answered(self, now: float, event: api.Outcome, cls: api.ServiceClass | None,
                  keys: tuple[str, ...]) -> None:
-        s = self.servers[event.host]  # known once listed, even when gone
+        s = self.servers.get(event.host)
+        if s is None:  # gone for longer than anything there could matter
+            return
         out, high = len(s.out), event.result == "timeout"
         self.out -= s.out.pop((event.id, event.attempt), None) is not None
         if event.report:
@@ -394,9 +412,7 @@
         if acct is None:
             acct = Account(req, plan, self.born, now, self.rng)
         self.accounts[req.customer], acct.seen_at = acct, now
-        oldest = next(iter(self.accounts.values()))
-        if now - oldest.seen_at > IDLE_MOST and not (oldest.call or oldest.open_here):
-            del self.accounts[oldest.name]
+        self.free_accounts(now)
         worth = cls.worth * plan.price * req.units
         self.worth += (GAIN if self.worth else 1.0) * (worth - self.worth)
         job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
@@ -411,6 +427,15 @@
         else:
             self.want_slot(now, job)
 
+    def free_accounts(self, now: float) -> None:
+        """Many customers come only once. Past its windows an account tells no more than a new one would."""
+        for oldest in list(itertools.islice(self.accounts.values(), FREED_AT_ONCE)):
+            if now - oldest.seen_at <= max(IDLE_MOST, 3 * oldest.length):
+                return
+            del self.accounts[oldest.name]
+            if oldest.call or oldest.open_here or oldest.waiting:  # a busy one holds up none behind it
+                self.accounts[oldest.name], oldest.seen_at = oldest, now
+
     def shed(self, now: float, job: Job) -> bool:
         """While answers come from servers that hold too much, what is worth least a unit of work is refused,
         whatever the cause: one gateway of many has too few out for a limit of its own to relieve them."""
@@ -638,6 +663,8 @@
             return s.host.id not in job.avoid
         if job.cls.effect == "unsafe" or now >= min(t for _, t in unproven) + job.cls.memory - TICK:
             return False
+        if any(h not in self.fleet.servers for h, _ in unproven):
+            return False
         known, scope = [self.fleet.servers[h].host for h, _ in unproven], job.cls.scope
         return all(scope == "all" or (h.zone == s.host.zone if scope == "zone" else h.cell == s.host.cell)
                    for h in known)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -49,3 +49,28 @@
             w.now += 0.1
     assert calls[0.045] < 0.7 * calls[0.001]
     assert most[0.001] <= 1.1 and 1.1 < most[0.045] <= 4.0
+
+
+def test_hosts_that_are_gone_are_forgotten_in_time():
+    w = World(settings(plans=[BIG]), [host("h0")])
+    for n in range(1, 200):
+        for send in of(w.ask()[1], api.Send):
+            w.end(send, "error")
+        hosts = (host(f"h{n}"), host(f"h{n - 1}", state="leaving" if n % 2 else "down"))
+        w.do(api.HostList("full" if n % 3 else "delta", n, hosts))
+        w.now += 2.0
+    assert len(w.gw.fleet.servers) < 40 and len(w.gw.fleet.up) == 1
+    assert len({name for name, _ in w.gw.fleet.doubt.hosts}) < 40
+
+
+def test_a_host_that_is_gone_is_known_while_something_is_out_there():
+    w = World(settings(plans=[BIG]), [host("h1"), host("h2")])
+    (send,) = of(w.ask(cls="note", left=3.0)[1], api.Send)
+    other = "h2" if send.host == "h1" else "h1"
+    w.do(api.HostList("full", 2, (host(other),)))
+    w.now += 100.0
+    w.do(api.HostList("full", 3, (host(other),)))
+    assert send.host in w.gw.fleet.servers
+    w.end(send)
+    w.do(api.HostList("full", 4, (host(other),)))
+    assert send.host not in w.gw.fleet.servers
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -267,3 +267,13 @@
         during += served(w, 1, customer=f"d{k}", spread=60)
         w.now += 0.1
     assert before > 150 and 40 < during <= before + 20
+
+
+def test_customers_that_come_once_do_not_pile_up():
+    w = World(settings(plans=[plan(rate=1000.0, burst=4000.0)]))
+    busy = w.ask("busy", left=1000.0)[1]
+    for n in range(2000):
+        for send in of(w.ask(f"c{n}")[1], api.Send):
+            w.end(send)
+        w.now += 0.1
+    assert len(w.gw.accounts) < 250 and busy
