Do not keep a socket object beside uvloop's transport: it closed descriptors of others

Cause: kept a socket made from the transport's descriptor in hosts.Connection. uvloop drops a transport whose connect is called off (time-out, client gone) without connection_lost, so the object was collected later and closed a number that was another connection's by then. Ruled out: slow clients (pieces) and the time-outs for them: no such line in the log. Test: a connection dropped without connection_lost leaves its descriptor open; seen failing without the change.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -96,8 +96,8 @@
         slot.reply(answer)
 
     def expire(self) -> None:
-        if self.unread():
-            return  # it asks just now
+        if self.transport.is_closing() or self.unread():
+            return  # it has gone, or asks just now
         if self.partial:
             self.fail(b"-ERR command not finished in time\r\n")
         else:
@@ -185,7 +185,7 @@
             client.transport.abort()
             return True
         for client in [c for c, _ in zip(self.idle, range(MOST_LOOKED_AT), strict=False)]:
-            if not client.unread():
+            if not client.transport.is_closing() and not client.unread():
                 client.transport.close()
                 client.closing = True
                 return True
@@ -209,13 +209,13 @@
         return not partial or self.partial <= self.most_partial
 
     def sweep(self) -> None:
+        self.timer = asyncio.get_running_loop().call_later(SWEEP, self.sweep)
         now = monotonic()
         for client in [c for c, since in self.idle.items() if since < now - IDLE]:
             client.expire()
         for place, most in ((self.ending, ENDING), (self.stuck, STUCK)):
             for client in [c for c, since in place.items() if since < now - most]:
                 client.transport.abort()
-        self.timer = asyncio.get_running_loop().call_later(SWEEP, self.sweep)
 
     def finish(self) -> None:
         """No new connections; each one that there is closes once all it asked has been answered."""
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -12,7 +12,7 @@
 import math
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from time import monotonic
 from typing import Any
 
@@ -84,12 +84,12 @@
         self.attempt: Attempt | None = None
         self.written, self.idle_since = True, 0.0
         self.transport: asyncio.Transport | None = None
-        self.sock: socket.socket | None = None  # the transport's own descriptor, let go of in close()
+        self.family, self.descriptor = 0, -1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         told = transport.get_extra_info("socket")
-        self.sock = socket.socket(told.family, socket.SOCK_STREAM, 0, told.fileno())
+        self.family, self.descriptor = told.family, told.fileno()
         # With no room above the socket, pause_writing tells at once that it did not take every byte.
         transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
 
@@ -99,15 +99,27 @@
     def resume_writing(self) -> None:
         self.written = True
 
+    @contextlib.contextmanager
+    def borrowed(self) -> Iterator[socket.socket]:
+        """The open transport's socket, for one call. It is not kept: uvloop drops a transport whose connect
+        is called off without connection_lost, and a socket left over would close another's descriptor."""
+        sock = socket.socket(self.family, socket.SOCK_STREAM, 0, self.descriptor)
+        try:
+            yield sock
+        finally:
+            sock.detach()
+
     def quiet(self) -> bool:
         """Whether nothing is to be read, not even the end: what follows an answer is never the next one."""
-        try:
-            assert self.sock is not None
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
+        if self.transport is None or self.transport.is_closing():
+            return False
+        with self.borrowed() as sock:
+            try:
+                sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                return True
+            except OSError:
+                pass
         return False
 
     def start(self, attempt: Attempt) -> None:
@@ -149,13 +161,10 @@
         """Ends the connection now: the socket is shut at once, before another attempt can be sent."""
         attempt, self.attempt = self.attempt, None
         self.pool.drop(self)
-        sock, self.sock = self.sock, None
-        if sock is not None:
-            if self.transport is not None and not self.transport.is_closing():
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RDWR)
-                self.transport.abort()
-            sock.detach()  # the transport closes the descriptor
+        if self.transport is not None and not self.transport.is_closing():
+            with self.borrowed() as sock, contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            self.transport.abort()
         if attempt is not None:
             attempt.end("reset" if self.written else "connect_failed")
 
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -1,6 +1,9 @@
 """Connections to hosts: attempts, their outcomes, probes, caps."""
 
 import asyncio
+import gc
+import os
+import socket
 import time
 
 import pytest
@@ -133,10 +136,11 @@
         asked = asyncio.create_task(node.ask(command()))
         await one.arrived.get()
         (attempt,) = node.node.works["r1"].live.values()
-        ended = attempt.conn.sock
+        ended = socket.socket(fileno=os.dup(attempt.conn.descriptor))
         node.node.cancel(api.Cancel("r1", 0))
         with pytest.raises(OSError):  # the socket was shut at once, not in a later turn of the loop
             ended.send(b"x")
+        ended.close()
         assert await one.arrived.get() is None
         assert await asked == SERVED and len(two.commands) == 1
 
@@ -202,3 +206,27 @@
             assert (await node.ask(write(cls=b"note"))).startswith(b"-ERR")
         assert not node.node.hosts.conns
         assert await node.ask(command(b"r2")) == SERVED
+
+
+@on_loop
+async def test_a_connection_that_is_dropped_does_not_close_a_descriptor_by_itself(tmp_path):
+    """uvloop drops a transport whose connect is called off without a connection_lost."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        ours, theirs = socket.socketpair()
+
+        class Transport(asyncio.Transport):
+            def set_write_buffer_limits(self, high=None, low=None):
+                pass
+
+            def is_closing(self):
+                return False
+
+        conn = hosts.Connection(node.node.hosts.pools["h1"])
+        conn.connection_made(Transport({"socket": ours}))
+        assert conn.quiet()
+        del conn
+        gc.collect()
+        theirs.send(b"x")
+        assert ours.recv(1) == b"x"
+        ours.close()
+        theirs.close()
