A spoilt answer of the counter loses no units and stops no other call

Checked by a print at each refusal (not kept): nearly all came from Policy.decide, with the count over the burst and a debt carried from the window before; neither the queue, pressure nor the counter's slowness took part. Cause: an answer that cannot be read was told as a time-out. The counter had added the lease, nobody held it, and the next total carried it as overdraft into the next window; each one also stopped all calls for 0.16 s, and the broken line turned calls away until it was up again. Now the result is 'spoilt': the next call of that window uses the units; it is no sign that the counter is away; another line stands in; a silent line is replaced after 0.5 s, not 2 s; totals are read in the protocol's form only.

--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -11,7 +11,7 @@
 EFFECTS = ("safe", "keyed", "unsafe")
 SCOPES = ("all", "zone", "cell")
 RESULTS = ("ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot")
-COUNT_RESULTS = ("ok", "full", "connect_failed", "timeout")
+COUNT_RESULTS = ("ok", "full", "connect_failed", "timeout", "spoilt")  # spoilt: added, total not known
 MODES = ("delta", "full", "cached", "failed")
 
 
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import re
 from collections import deque
 from collections.abc import Callable
 from time import monotonic
@@ -13,10 +14,12 @@
 
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
-SILENT = 2.0  # s without an answer that was due, after which a connection is held dead and made anew
+CHECK = 0.25  # s between looks for silent and idle connections
+SILENT = 0.5  # s without an answer that was due, after which a connection is held dead and made anew
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries to connect
 PING = -1  # in place of a name
 MOST_LINE = 4096  # bytes of an answer
+TOTAL = re.compile(rb"-?[0-9]{1,20}(\.[0-9]{1,20})?(e[+-]?[0-9]{1,2})?")  # float() takes nan and 1_0 too
 
 log = logging.getLogger(__name__)
 
@@ -92,12 +95,10 @@
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             if not self.answer(line.split()):
-                log.warning("counter: unexpected answer %r", line[:80])
-                self.abort()
+                self.spoilt(line)
                 return
         if len(self.rest) > MOST_LINE:
-            log.warning("counter: an answer without end")
-            self.abort()
+            self.spoilt(self.rest)
         elif self.retired and not self.calls:
             self.close()
 
@@ -105,13 +106,9 @@
         if not self.calls or not words or (words[0] == b"pong") != (self.calls[0].name == PING):
             return False
         if words[0] == b"ok" and len(words) == 2:
-            try:
-                total = float(words[1])
-            except ValueError:
-                return False
-            if not math.isfinite(total):
+            if not TOTAL.fullmatch(words[1]):
                 return False
-            self.calls.popleft().end("ok", total)
+            self.calls.popleft().end("ok", float(words[1]))
         elif words[0] in (b"busy", b"error"):
             self.calls.popleft().end("full")
         elif words[0] == b"pong":
@@ -120,6 +117,13 @@
             return False
         return True
 
+    def spoilt(self, text: bytes) -> None:
+        """An answer that cannot be read: its call was added, and nothing behind it can be told apart."""
+        log.warning("counter: unexpected answer %r", text[:80])
+        if self.calls and self.calls[0].name != PING:
+            self.calls.popleft().end("spoilt")
+        self.abort()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -128,7 +132,7 @@
         now = monotonic()
         if self.calls and now - self.calls[0].started > SILENT:
             # A machine that vanished says nothing, and its connections stay open for good.
-            log.warning("counter: no answer for %.0f s, connecting again", SILENT)
+            log.warning("counter: no answer for %.1f s, connecting again", SILENT)
             self.abort()
         elif not self.calls and not self.retired and now - self.used > KEEP_ALIVE:
             self.write(Call(PING, None), b"ping\r\n")
@@ -183,7 +187,7 @@
 
     async def checks(self) -> None:
         while True:
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(CHECK)
             for line in [*self.lines, *self.old]:
                 line.check()
             self.old = {line for line in self.old if line.calls}
@@ -192,7 +196,10 @@
         call = Call(name, done)
         text = b"incr %d %s %d\r\n" % (name, f"{amount:.7g}".encode(), max(1, math.ceil(lifetime * 1000)))
         loop = asyncio.get_running_loop()
-        if self.lines[name % LINES].write(call, text):  # one line a name keeps its answers in order
+        # One line a name keeps its answers in order. Another stands in while that one is being made again, as
+        # it is after each answer that cannot be read.
+        place = name % LINES
+        if any(line.write(call, text) for line in self.lines[place:] + self.lines[:place]):
             call.timer = loop.call_later(self.timeout, call.end, "timeout")
         else:
             loop.call_soon(call.end, "connect_failed")
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -31,7 +31,8 @@
 LOAD_COST = 0.2  # least cost of a unit sent on beyond quota, in its worth: it loads what all share
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
 BACKOFF_MOST = 1.0  # s; longest pause between tries of a counter that does not answer
-OPEN_EPOCH, IDLE_MOST = 5.0, 20.0  # s; life of a count of open attempts; least life of an idle account
+CALL_SPOILT = 0.9  # part of the time-out before which a call without answer was lost with its line
+OPEN_EPOCH, IDLE_MOST = 5.0, 30.0  # s; life of a count of open attempts; least life of an idle account
 FREED_AT_ONCE = 4  # idle accounts looked at with each request: more than come, so that they never pile up
 GONE_MOST = 30.0  # s that a host which is gone is known: longer than any attempt or repeat on it matters
 CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
@@ -66,8 +67,13 @@
     charge: float = 0.0
     ask: float = 0.0
     extra: float = 0.0  # for those that passed unasked
+    spare: float = 0.0  # units of earlier calls that it makes use of
     job: Job | None = None
 
+    @property
+    def amount(self) -> float:
+        return self.charge + self.ask + self.extra - self.spare
+
 
 class Account:
     def __init__(self, req: api.Request, plan: api.Plan, born: float, now: float, rng: random.Random) -> None:
@@ -77,6 +83,7 @@
         self.phase = stable_hash(self.name, "phase") % 4096 / 4096 * self.length
         self.k = self.window(now)
         self.start = self.k * self.length + self.phase
+        self.spare = 0.0  # units added here by calls whose answers were spoilt: ours, but not leased yet
         self.lease = self.uncharged = self.put = self.total = self.debt = self.used = self.last_used = 0.0
         self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
         self.waiting: list[str] = []
@@ -94,7 +101,7 @@
         debt = max(0.0, self.total + self.uncharged * self.spread - self.plan.burst * (k - self.k))
         self.last_used = self.used if k == self.k + 1 else 0.0
         self.k, self.start = k, k * self.length + self.phase
-        self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
+        self.lease = self.uncharged = self.put = self.used = self.full_until = self.spare = 0.0
         self.total, self.debt, self.dice = debt, debt, self.rng.random()
 
     def hold(self, now: float) -> float:
@@ -515,10 +522,11 @@
         if ask + acct.uncharged <= 0:
             self.settle_waiting(now, acct)
             return
-        call = acct.call = Call(acct, "units", acct.k, acct.uncharged, ask, need * (factor - 1))
+        call = acct.call = Call(acct, "units", acct.k, acct.uncharged, ask, need * (factor - 1),
+                                spare=acct.spare)
         acct.total += acct.uncharged
-        acct.uncharged = 0.0
-        self.count(stable_hash(acct.name, acct.k), ask + call.charge + call.extra, 3 * acct.length, call)
+        acct.uncharged = acct.spare = 0.0
+        self.count(stable_hash(acct.name, acct.k), call.amount, 3 * acct.length, call)
 
     def count(self, name: int, amount: float, life: float, call: Call) -> None:
         self.calls.setdefault(name, []).append(call)
@@ -530,21 +538,28 @@
         call, *rest = self.calls.pop(event.name)
         self.calls.update({event.name: rest} if rest else {})
         ok, acct = event.result == "ok", call.acct
-        self.counter.note(now, ok, event.elapsed)
+        # A spoilt answer, or a line that broke before the time was up, says nothing of the next call.
+        early = event.result == "timeout" and event.elapsed < CALL_SPOILT * self.counter.timeout
+        if event.result != "spoilt" and not early:
+            self.counter.note(now, ok, event.elapsed)
         if call.kind == "units":
             acct.call = None
             acct.roll(now)
             if call.window == acct.k and ok:
                 self.granted(now, acct, event.total, call)
+            elif call.window == acct.k and event.result == "spoilt":
+                acct.put += call.amount  # surely added: what was asked for is used up by the next call
+                acct.spare += call.ask
             elif call.window == acct.k and event.result != "timeout":
                 acct.uncharged += call.charge  # surely not added: the charge is still owed
                 acct.total -= call.charge
+                acct.spare += call.spare
             self.settle_waiting(now, acct)
         elif call.kind == "slot":
             self.slot_counted(now, event, call)
 
     def granted(self, now: float, acct: Account, total: float, call: Call) -> None:
-        mine, extra = call.charge + call.ask + call.extra, 0.0
+        mine, extra = call.amount, 0.0
         if total <= mine and not acct.put:
             extra = acct.debt  # whoever finds the count empty brings the last window's overdraft along
         elif total < acct.put + mine:  # less than what is ours alone: counts were lost; add ours again
