A host that fails at once rests before its next trial; a failed attempt waits for a host

These hosts had died and were told as gone only at 20 s. One attempt a host and gateway may be out, so a host that refuses at once is always the free one: pick() took it however doubted it was (99 in 100), since the score only weighs hosts that have room. outcome() then refused the request because no other host was free at that instant.

Checked and ruled out: lines to the counter (no call without a line in the trace, fails 0), the retry budget, fleet.out against Server.out (equal at all sends), CPU (0.2 of a second at most).

Lines at fault: Fleet.may_send (no pause after a failure), Gateway.outcome (no host free = refuse). Mend: Server.rests, in trials that double from 20 ms to 0.5 s, by host or class; what is left to try waits in the queue; drain_queue passes over requests whose hosts are busy. The simulator's test of failing classes waits for the rest to be over.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -50,6 +50,7 @@
 COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
 RETRY_SHARE, RETRY_SPARE, RETRY_FULL = 0.1, 0.3, 0.2  # per first send; with room; price of one after `full`
 RETRY_START, RETRY_MOST = 15.0, 30.0  # retries over all gateways at the start; that may be saved up
+TRIAL_LEAST, TRIAL_MOST = 0.02, 0.5  # s; pause of a host after one failure there, and after many in a row
 COLD_PART = 0.4  # of what a cold server bears by the rules, the rest for chance and the others' bursts
 CROSS_WEIGHT = 10.0  # relative service time given to save one unit of the cross-zone price
 
@@ -213,8 +214,24 @@
         self.host, self.up, self.out = host, host.state == "up", out  # attempts out: when sent
         self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
         self.gone_at = math.inf
+        self.rests: dict[str, tuple[int, float]] = {}  # host or class: failures in a row, its next trial
         self.credit, self.credit_at, self.dice = credit, now, credit  # sends it may get from here while cold
 
+    def tried(self, now: float, keys: tuple[str, ...], ok: bool) -> None:
+        """A host that fails at once is always free, so the fuller the sound ones are, the more requests it
+        would draw and spend: one that died before the list tells it, turns all away, resets or errs. After
+        each failure it rests, as a whole or for a class, twice as long up to a bound. Harm: after a chance
+        failure a sound host idles for a moment, and one that comes back is found up to TRIAL_MOST late."""
+        if ok:
+            for key in keys if self.rests else ():
+                self.rests.pop(key, None)
+            return
+        failed = self.rests.get(keys[-1], (0, 0.0))[0] + 1
+        self.rests[keys[-1]] = failed, now + min(TRIAL_MOST, TRIAL_LEAST * 2.0 ** min(failed - 1, 10))
+
+    def resting(self, now: float, keys: tuple[str, ...]) -> bool:
+        return bool(self.rests) and any(now < self.rests.get(key, (0, 0.0))[1] for key in keys)
+
     def warmth(self, now: float, rules: api.Rules) -> float:
         age = max(0.0, now - self.host.started)
         cold = 0 < self.host.started and age < rules.cold_time
@@ -269,10 +286,10 @@
         """Time after which an attempt is taken for silent."""
         return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
 
-    def may_send(self, s: Server, now: float) -> bool:
+    def may_send(self, s: Server, now: float, keys: tuple[str, ...] = ("host",)) -> bool:
         # Many gateways with one out at each server overdrive all, so what one has out in all is limited too.
         most = max(2.0, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
-        if not s.up or len(s.out) >= int(self.limit + s.dice) or self.out >= most:
+        if not s.up or len(s.out) >= int(self.limit + s.dice) or self.out >= most or s.resting(now, keys):
             return False
         rules = self.set.rules
         warm = s.warmth(now, rules)
@@ -284,6 +301,9 @@
         s.credit_at = now
         return s.credit >= 1.0
 
+    def room(self, now: float) -> bool:
+        return any(self.may_send(s, now) for s in self.up)
+
     def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
         size = s.host.weight / self.top * s.warmth(now, self.set.rules)
         return size * self.doubt.sound(s.host.id, keys, now)
@@ -304,9 +324,9 @@
         if few < len(pool):
             draws = (pool[int(self.rng.random() * len(pool))] for _ in range(DRAWS))
             sure = self.rng.random
-            fit = (s for s in draws if sure() < self.weight(s, keys, now) and self.may_send(s, now))
+            fit = (s for s in draws if sure() < self.weight(s, keys, now) and self.may_send(s, now, keys))
             pool = list(itertools.islice(fit, few)) or pool
-        able = [s for s in pool if self.may_send(s, now)]
+        able = [s for s in pool if self.may_send(s, now, keys)]
         return min(able, key=lambda s: self.score(s, keys, now) + TICK * self.rng.random(), default=None)
 
     def sent(self, s: Server, key: tuple[str, int], now: float) -> None:
@@ -332,6 +352,7 @@
         if event.result in ("connect_failed", "full", "error", "reset", "ok"):
             level = keys[:1] if event.result == "connect_failed" else keys
             self.doubt.note(event.host, level, event.result != "ok", now)
+            s.tried(now, level[:2], event.result == "ok")
         if event.report or event.result in ("ok", "timeout"):
             gain = max(QUICK / 2, 1 - math.exp((self.answer_at - now) / PRESS_SPAN))
             self.pressure, self.answer_at = self.pressure + min(gain, 0.5) * (high - self.pressure), now
@@ -344,7 +365,7 @@
         self.dev[cls.name] += gain * (abs(off) * (1 - gain) - self.dev[cls.name])
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Job:
     req: api.Request
     cls: api.ServiceClass
@@ -379,6 +400,7 @@
         self.top = max(c.worth for c in settings.classes.values())
         self.due: list[tuple[float, str]] = []  # when which job is to be looked at
         self.timer_at = self.watch_at = math.inf
+        self.trial_at = 0.0  # when the queue is looked at for a host's next trial
         self.pass_share, self.pass_at, self.worth = 1.0, now, 0.0  # worth: running mean of a request's
         self.ranks: list[float] = []  # values of the latest requests
         self.out: list[api.Action] = []
@@ -407,7 +429,8 @@
         self.drain_queue(now)
         while self.due and self.due[0][1] not in self.jobs:
             heapq.heappop(self.due)
-        at = min(self.due[0][0] if self.due else math.inf, self.watch_at)
+        trial = self.trial_at if self.queue and self.trial_at > now else math.inf
+        at = min(self.due[0][0] if self.due else math.inf, self.watch_at, trial)
         if at < self.timer_at:  # what is due next; nothing when idle
             self.timer_at = at
             self.out.append(api.SetTimer(max(0.0, at - now), 0))
@@ -645,15 +668,23 @@
             self.refuse(now, job, 0.0)
             return
         acct.cap -= units  # spent before sending
-        job.stage = "queue"
-        bisect.insort(self.queue, job, key=lambda j: (not j.beyond, j.value))
+        self.line_up(job)
         most = max(QUEUE_LEAST, self.fleet.own_rate(now) * QUEUE_HOLD * job.cls.aim)
         self.queue = [j for j in self.queue if not j.done] if len(self.queue) > most else self.queue
         if len(self.queue) > most:
             self.refuse(now, self.queue.pop(0), 0.0)
         self.drain_queue(now)
         if job.stage == "queue" and not job.done:
-            self.look(now + QUEUE_HOLD * job.cls.aim, job)
+            self.look(job.arrived + self.hold(job), job)
+
+    def line_up(self, job: Job) -> None:
+        job.stage = "queue"
+        bisect.insort(self.queue, job, key=lambda j: (not j.beyond, j.value))
+
+    def hold(self, job: Job) -> float:
+        """How long after its arrival a request may wait for a server. One whose attempt failed may do so till
+        it is worth nothing or its refusal comes late: a client that comes again is served later still."""
+        return min(job.cls.aim, (job.deadline - job.arrived) / 2) if job.sends else QUEUE_HOLD * job.cls.aim
 
     def refuse(self, now: float, job: Job, wait: float) -> None:
         ran = job.cls.effect != "safe" and (job.cls.effect, job.cls.scope) != ("keyed", "all")
@@ -704,15 +735,21 @@
         return True
 
     def drain_queue(self, now: float) -> None:
-        while self.queue:
-            job = self.queue[-1]
+        stuck: set[str] = set()  # classes that no server has room for; what was tried before has fewer left
+        for job in self.queue[::-1] if self.queue and self.fleet.room(now) else ():
+            first = not job.sends
             if not job.done:
-                if not self.send(now, job):
-                    return  # nothing was sent for it yet, so no server has room for any other either
-                clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST
-                share = RETRY_SPARE if clear else RETRY_SHARE
-                self.budget = min(max(2.0, RETRY_MOST / self.set.gateways), self.budget + share)
-            self.queue.pop()
+                if job.cls.name in stuck or not self.send(now, job):
+                    stuck.update([job.cls.name] * first)
+                    continue
+                if first:
+                    clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST
+                    share = RETRY_SPARE if clear else RETRY_SHARE
+                    self.budget = min(max(2.0, RETRY_MOST / self.set.gateways), self.budget + share)
+            self.queue.remove(job)
+        if self.queue and self.trial_at <= now:  # no other event may come when a host's rest is over
+            trials = [at for s in self.fleet.up for _, at in s.rests.values() if at > now]
+            self.trial_at = min(trials, default=0.0)
 
     def outcome(self, now: float, event: api.Outcome) -> None:
         job = self.jobs.get(event.id)
@@ -731,10 +768,21 @@
             return
         cost = {"connect_failed": 0.0, "full": RETRY_FULL}.get(event.result, 1.0)
         late = now + max(TICK, self.fleet.mean[job.cls.name]) > job.deadline or event.result == "moot"
-        if late or self.budget < cost or not self.send(now, job):
+        if late or self.budget < cost:
             self.refuse(now, job, 0.0)
-        else:
+        elif self.send(now, job):
             self.budget -= cost
+        elif self.may_wait(now, job):  # all that it may go to are busy, which is no reason to give it up
+            self.budget -= cost
+            self.line_up(job)
+            self.look(job.arrived + self.hold(job), job)
+        else:
+            self.refuse(now, job, 0.0)
+
+    def may_wait(self, now: float, job: Job) -> bool:
+        more = not job.streaming and job.sends < self.set.limits.max_attempts
+        more = more and now < job.arrived + self.hold(job)
+        return more and any(self.fits(job, s, now) for s in self.fleet.up)
 
     def look(self, at: float, job: Job) -> None:
         heapq.heappush(self.due, (min(at, job.deadline - 2 * TICK), job.req.id))
@@ -752,7 +800,7 @@
 
     def check(self, now: float, job: Job) -> None:
         ending = now >= job.deadline - 2 * TICK - 1e-6
-        most = {"units": 2 * self.counter.timeout, "queue": QUEUE_HOLD * job.cls.aim}.get(job.stage, math.inf)
+        most = {"units": 2 * self.counter.timeout, "queue": self.hold(job)}.get(job.stage, math.inf)
         if job.stage != "sent" and (ending or now - job.arrived >= most - 1e-6):
             self.refuse(now, job, 0.0)
         elif job.stage == "sent" and not ending and not job.streaming:
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -143,3 +143,31 @@
         node.node.module = Doubler()
         assert (await node.ask(command())).startswith(b"-ERR")
         assert Doubler.results[0] == "moot" and not two.commands
+
+
+@pytest.mark.parametrize("turned_away", [False, True], ids=["refuses connections", "turns requests away"])
+@on_loop
+async def test_a_host_that_fails_at_once_does_not_draw_what_waits_for_a_busy_one(turned_away, tmp_path):
+    asked = 8  # twice what the sound host may get at once
+    async with StubHost(answer=None) as sound, StubHost(answer=b"-BUSY\r\n") as failing:
+        async with Node(sound, failing, path=tmp_path) as node:
+            if not turned_away:
+                failing.server.close()  # its process died, and the list does not tell it yet
+            module, tried, came = node.node.module.handle, [], []
+
+            def handle(now, event):
+                came.extend([event] * isinstance(event, api.Request))
+                actions = module(now, event)
+                tried.extend(a for a in actions if isinstance(a, api.Send) and a.host == "h2")
+                return actions
+
+            node.node.module.handle = handle
+            asks = [asyncio.ensure_future(node.ask(command(b"r%d" % n))) for n in range(asked)]
+            while len(came) < asked or not sound.commands:
+                await asyncio.sleep(0)
+            sound.answer = VALUE
+            for writer in sound.writers:  # those that it has; the others follow
+                writer.write(VALUE)
+            replies = await asyncio.gather(*asks)
+            assert replies == [SERVED] * asked
+            assert len(tried) < asked / 2
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -183,6 +183,7 @@
         w.end(s, result, final=result != "full")
         for s in of(w.ask(**good)[1], api.Send):
             w.end(s)
+        w.now += 0.5  # for what it failed it rests so long at most
     w.do(api.HostList("delta", 2, (host("h2"),)))
     hosts = []
     for _ in range(8):
