Compare totals of the counter with their rounding in mind; bring an overdraft along once, whoever is first

On another customer the first call of a window had a spoilt answer, so that nobody brought its overdraft of 25 along. Checked and ruled out: overdraft brought by several (0 or 1 gateways in 632 windows), its size (brought against true: -0.01 of a burst in the mean, +0.13 where some was brought).

Lines at fault: Gateway.granted (total < put + mine, total <= mine and not put), counted (an add that failed stayed in put). Small tests fail without the change; one runs over sockets.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -31,6 +31,7 @@
 LOAD_COST = 0.2  # least cost of a unit sent on beyond quota, in its worth: it loads what all share
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
 BACKOFF_MOST = 1.0  # s; longest pause between tries of a counter that does not answer
+ROUNDING = 1e-4  # part of a total, seven digits of which are exact: less than that is no difference
 CALL_SPOILT = 0.9  # part of the time-out before which a call without answer was lost with its line
 OPEN_EPOCH, IDLE_MOST = 5.0, 30.0  # s; life of a count of open attempts; least life of an idle account
 FREED_AT_ONCE = 4  # idle accounts looked at with each request: more than come, so that they never pile up
@@ -85,6 +86,7 @@
         self.k = self.window(now)
         self.start = self.k * self.length + self.phase
         self.spare = 0.0  # units added here by calls whose answers were spoilt: ours, but not leased yet
+        self.unsure = 0.0  # amount of calls without answer: it may have been added
         self.lease = self.uncharged = self.put = self.total = self.debt = self.used = self.last_used = 0.0
         self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
         self.waiting: list[str] = []
@@ -102,7 +104,8 @@
         debt = max(0.0, self.total + self.uncharged * self.spread - self.plan.burst * (k - self.k))
         self.last_used = self.used if k == self.k + 1 else 0.0
         self.k, self.start = k, k * self.length + self.phase
-        self.lease = self.uncharged = self.put = self.used = self.full_until = self.spare = 0.0
+        self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
+        self.spare = self.unsure = 0.0
         self.total, self.debt, self.dice = debt, debt, self.rng.random()
 
     def hold(self, now: float) -> float:
@@ -577,16 +580,21 @@
                 acct.uncharged += call.charge  # surely not added: the charge is still owed
                 acct.total -= call.charge
                 acct.spare += call.spare
+            elif call.window == acct.k:
+                acct.unsure += call.amount
             self.settle_waiting(now, acct)
         elif call.kind == "slot":
             self.slot_counted(now, event, call)
+        elif call.window == acct.k and event.result not in ("ok", "spoilt"):
+            acct.put -= call.amount  # else what never came into the count would be taken for lost from it
+            acct.unsure += call.amount * (event.result == "timeout")
 
     def granted(self, now: float, acct: Account, total: float, call: Call) -> None:
-        mine, extra = call.amount, 0.0
-        if total <= mine and not acct.put:
-            extra = acct.debt  # whoever finds the count empty brings the last window's overdraft along
-        elif total < acct.put + mine:  # less than what is ours alone: counts were lost; add ours again
+        mine, extra, slack = call.amount, 0.0, ROUNDING * max(1.0, total)
+        if total < acct.put + mine - slack:  # less than what is ours alone: counts were lost; add ours again
             extra, acct.put = acct.put, 0.0  # the new count holds nothing else of ours
+        elif total <= acct.put + mine + acct.unsure + slack:
+            extra, acct.debt = acct.debt, 0.0  # who finds none but its own brings the overdraft along
         if not acct.thin:  # the store holds a burst at most: what a quiet customer let run over is gone
             extra += max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
         jobs = [self.jobs[i] for i in acct.waiting if i in self.jobs]
@@ -603,7 +611,8 @@
         if self.rng.random() < self.counter.chance(SIDE_CALL):  # in a crowd the excess stays counted
             extra -= over
         if extra:
-            self.count(stable_hash(acct.name, acct.k), extra, 3 * acct.length, Call(acct, "void", acct.k))
+            self.count(stable_hash(acct.name, acct.k), extra, 3 * acct.length,
+                       Call(acct, "void", acct.k, extra=extra))
 
     def settle_waiting(self, now: float, acct: Account) -> None:
         waiting, acct.waiting = acct.waiting, []
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from netkit import SERVED, Node, StubCounter, StubHost, command, on_loop
+from netkit import SERVED, SETTINGS, Node, StubCounter, StubHost, command, on_loop
 
 from calicomast.net.counter import LINES
 
@@ -121,3 +121,18 @@
         node.counter.silent = False
         add()
         assert await results.get() == ("ok", 2.0)
+
+
+@on_loop
+async def test_rounding_of_totals_is_not_taken_for_lost_counts(tmp_path):
+    """Amounts and totals have seven digits on the wire; what is missing by them was never lost."""
+    few = {**SETTINGS, "plans": [{"name": "p", "rate": 1.0, "most_at_once": 40.0}]}
+    async with StubHost() as host, Node(host, path=tmp_path, settings=few) as node:
+        while any(line.transport is None for line in node.node.counter.lines):
+            await asyncio.sleep(0)
+        await node.ask(command())
+        (acct,) = node.node.module.accounts.values()
+        acct.debt = 100 / 3  # an overdraft of the last window, brought along once the first call is answered
+        replies = [await node.ask(command(b"r%d" % n)) for n in range(90)]
+        assert len(node.counter.calls) > 3
+        assert 33 < sum(node.counter.totals.values()) < 33 + 1.5 * replies.count(SERVED)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -322,3 +322,36 @@
     served(w, 12)
     again = [a.amount for _, a in w.log[calls:] if isinstance(a, api.Count)]
     assert len(again) > 4 and w.counts[name] <= before + 14  # not twice, not ever more
+
+
+def next_call(w):
+    """The next call that asks for units, however many requests pass before."""
+    for _ in range(200):
+        w.now += 0.01
+        calls = [c for c in of(w.ask()[1], api.Count) if c.amount > 0]
+        if calls:
+            return calls[0]
+    raise AssertionError("no call")
+
+
+def test_the_overdraft_is_brought_along_though_the_first_answer_is_lost():
+    w = World(settings(plans=[plan(rate=20.0, burst=80.0)]))
+    w.mode = "hold"
+    call = next_call(w)
+    w.gw.accounts["c"].debt = 5.0
+    w.do(api.Counted(call.name, "timeout", 0.0, 0.002))  # its line broke: it may have been added
+    second = next_call(w)
+    acts = w.do(api.Counted(call.name, "ok", call.amount + second.amount, 0.002))
+    assert [c.amount for c in of(acts, api.Count) if c.amount >= 5]
+
+
+def test_what_could_not_be_added_is_not_taken_for_lost_from_the_count():
+    w = World(settings(plans=[plan(rate=20.0, burst=80.0)]))
+    w.mode = "hold"
+    call = next_call(w)
+    w.gw.accounts["c"].debt = 5.0
+    assert of(w.do(api.Counted(call.name, "ok", call.amount, 0.002)), api.Count)
+    w.do(api.Counted(call.name, "full", 0.0, 0.002))  # the overdraft
+    second = next_call(w)
+    acts = w.do(api.Counted(call.name, "ok", call.amount + second.amount, 0.002))
+    assert sum(c.amount for c in of(acts, api.Count)) < call.amount
