--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -781,7 +781,9 @@
             self.refuse(now, job, 0.0)
         elif self.send(now, job):
             self.budget -= cost
-        elif self.may_wait(now, job):  # all that it may go to are busy, which is no reason to give it up
+        elif event.result in ("connect_failed", "full", "reset") and self.may_wait(now, job):
+            # All that it may go to are busy, which is no reason to give up what a host never answered for. What
+            # was silent for long or erred has had its time at one, and in overload would take that of others.
             self.budget -= cost
             self.line_up(job)
             self.look(job.arrived + self.hold(job), job)
