--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -782,8 +782,8 @@
         elif self.send(now, job):
             self.budget -= cost
         elif event.result in ("connect_failed", "full", "reset") and self.may_wait(now, job):
-            # All that it may go to are busy, which is no reason to give up what was turned away or lost. What was
-            # silent for long or erred has had its time at a host, and in overload would take that of others.
+            # All that it may go to are busy, which is no reason to give up what was turned away or lost. What
+            # was silent or erred has had its time at a host, and in overload would take that of others.
             self.budget -= cost
             self.line_up(job)
             self.look(job.arrived + self.hold(job), job)
