While the counter is away, pass the part of a customer's room that passed here before

Ruled out: a wrong belief that it was down, crowding (slow 0.3 to 0.5 while it was up), hosts. Lines at fault: Account.allowance. Mend: the part that passed here in the last windows, as the counter told it, but at least the even part; surplus that was added is not taken for use.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -31,6 +31,7 @@
 LOAD_COST = 0.2  # least cost of a unit sent on beyond quota, in its worth: it loads what all share
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
 BACKOFF_MOST = 1.0  # s; longest pause between tries of a counter that does not answer
+PART_GAIN = 0.5  # weight of the latest window in the part of a customer's use that passes here
 ROUNDING = 1e-4  # part of a total, seven digits of which are exact: less than that is no difference
 CALL_SPOILT = 0.9  # part of the time-out before which a call without answer was lost with its line
 OPEN_EPOCH, IDLE_MOST = 5.0, 30.0  # s; life of a count of open attempts; least life of an idle account
@@ -86,6 +87,8 @@
         self.k = self.window(now)
         self.start = self.k * self.length + self.phase
         self.spare = 0.0  # units added here by calls whose answers were spoilt: ours, but not leased yet
+        self.part = 1.0 / self.spread  # of the customer's use that passes here
+        self.carried = 0.0  # part of the total that is no use in this window
         self.unsure = 0.0  # amount of calls without answer: it may have been added
         self.lease = self.uncharged = self.put = self.total = self.debt = self.used = self.last_used = 0.0
         self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
@@ -101,11 +104,15 @@
         k = self.window(now)
         if k == self.k:
             return
+        if self.put > 0 and self.total - self.carried >= 1:  # the counter told what all passed
+            part = min(1.0, self.used / (self.total - self.carried))
+            self.part += PART_GAIN * (part - self.part)
         debt = max(0.0, self.total + self.uncharged * self.spread - self.plan.burst * (k - self.k))
         self.last_used = self.used if k == self.k + 1 else 0.0
         self.k, self.start = k, k * self.length + self.phase
         self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
         self.spare = self.unsure = 0.0
+        self.carried = debt
         self.total, self.debt, self.dice = debt, debt, self.rng.random()
 
     def hold(self, now: float) -> float:
@@ -115,8 +122,11 @@
         return min(self.plan.burst, self.hold(now) - self.total) - self.uncharged
 
     def allowance(self, now: float, silent: bool) -> float:
-        part = max(0.0, min(self.plan.burst, self.hold(now) - self.total)) / self.spread
-        return part if silent else part * ALLOW
+        """Of the room, what may pass here uncharged. While the counter is away that is the part that passed
+        here before: a customer's traffic is uneven, and an even part refuses most of it. Harm: where it has
+        just moved, the gateway that it left and the one that it came to may both pass theirs."""
+        room = max(0.0, min(self.plan.burst, self.hold(now) - self.total))
+        return room * max(self.part, 1 / self.spread) if silent else room / self.spread * ALLOW
 
     def block(self, c1: float) -> int:
         """w = sqrt(c1 A / c2); c2 is the chance that a unit left unspent here is missed elsewhere."""
@@ -596,7 +606,8 @@
         elif total <= acct.put + mine + acct.unsure + slack:
             extra, acct.debt = acct.debt, 0.0  # who finds none but its own brings the overdraft along
         if not acct.thin:  # the store holds a burst at most: what a quiet customer let run over is gone
-            extra += max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
+            surplus = max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
+            extra, acct.carried = extra + surplus, acct.carried + surplus
         jobs = [self.jobs[i] for i in acct.waiting if i in self.jobs]
         kept = min((self.kept(j) for j in jobs), default=0.0)
         over = min(call.ask, max(0.0, math.ceil(total + extra + kept - acct.hold(now))))
