One core for every front: request life out of the RESP2 server, packages by concern

Need: one request's life was tied to the RESP2 server, so each further front would have copied it. core/life.py now takes requests from any front over small Protocols (core/ports.py) and shares ids in work, max_open and bytes held between fronts, with a reserve for each (core/budget.py). RESP2 is fronts/resp/ over it; counter and discovery clients moved to counting/ and membership/, the assembly to daemon/.

--- a/calicomast/net/config.py
+++ b/calicomast/daemon/config.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from calicomast import interface as api
-from calicomast.net.listing import Address, Listing, read_address, read_list
+from calicomast.membership.listing import Listing, read_list
+from calicomast.net.address import Address, read_address
 from calicomast.settings import read_settings, seconds
 
 
--- /dev/null
+++ b/calicomast/fronts/resp/command.py
@@ -0,0 +1,94 @@
+"""A command of a client to a request for the core and the message for hosts (the platform's protocol page).
+
+`API.READ CUSTOMER ID TERMS` and `API.WRITE CUSTOMER ID TERMS BODY`; a host is sent the same with `d` anew.
+"""
+
+from __future__ import annotations
+
+import re
+
+from calicomast import interface as api
+from calicomast.core.life import MOST_LEFT, WAY_BACK
+from calicomast.net.framing import MOST_BODY, bulk
+
+# The protocol's forms: int() and float() take blanks, signs, `1_0`, `0x1` and more besides.
+WHOLE, DECIMAL = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2 ** 33
+NAME = re.compile(rb"[!-~]{1,64}")  # ids and keys
+
+
+class BadRequest(Exception):
+    """Why a command cannot be taken."""
+
+
+def whole(text: bytes) -> int:
+    if not WHOLE.fullmatch(text):
+        raise ValueError("not a whole number")
+    return int(text)
+
+
+def decimal(text: bytes) -> float:
+    if not DECIMAL.fullmatch(text):
+        raise ValueError("not a number")
+    return float(text)
+
+
+class Command:
+    """What hosts are sent: the command as the client sent it, but for `d`. `size` in bytes."""
+
+    __slots__ = ("parts", "size")
+
+    def __init__(self, parts: list[bytes]) -> None:
+        self.parts, self.size = parts, len(parts[-1])
+
+    def payload(self, left: float) -> bytes:
+        """`d` tells how long, in milliseconds, this attempt is waited for."""
+        terms = self.parts[3]
+        start = (b"," + terms).index(b",d=") + 2
+        end = terms.find(b",", start)
+        told = b"%s%d%s" % (terms[:start], max(1, int(left * 1000)), terms[end:] if end >= 0 else b"")
+        parts = [*self.parts[:3], told, *self.parts[4:]]
+        return b"*%d\r\n%s" % (len(parts), b"".join([bulk(part) for part in parts]))
+
+
+def read_command(settings: api.Settings, command: object) -> tuple[api.Request, Command]:
+    """Raises BadRequest."""
+    if not isinstance(command, list) or {type(part) for part in command} - {bytes}:
+        raise BadRequest("not an array of bulk strings")
+    verb = command[0] if command else b""
+    write = verb == b"API.WRITE"
+    if not write and verb != b"API.READ":
+        raise BadRequest("unknown command")
+    if len(command) != 4 + write:
+        raise BadRequest("wrong number of arguments")
+    if write and len(command[4]) > MOST_BODY:
+        raise BadRequest("body too long")
+    return read_request(settings, command, write), Command(command)
+
+
+def read_request(settings: api.Settings, command: list[bytes], write: bool) -> api.Request:
+    _, customer, name, terms = command[:4]
+    pairs = [term.split(b"=", 1) for term in terms.split(b",")]
+    try:
+        fields: dict[bytes, bytes] = dict(pairs)  # type: ignore[arg-type]  # a pair that is none raises
+        cls = settings.classes.get(fields[b"c"].decode())
+        plan = fields[b"t"].decode()
+        left, units = whole(fields[b"d"]) / 1000, decimal(fields[b"units"])
+        spread, first = whole(fields[b"spread"]), whole(fields[b"first"])
+    except (KeyError, ValueError) as err:
+        raise BadRequest("missing or odd field") from err
+    if len(fields) != len(pairs):
+        raise BadRequest("a field twice")
+    if not (CUSTOMER.fullmatch(customer) and int(customer, 16) < MOST_CUSTOMERS and NAME.fullmatch(name)):
+        raise BadRequest("odd customer or id")
+    if cls is None or plan not in settings.plans:
+        raise BadRequest("unknown class or plan")
+    keyless = cls.effect == "keyed" and not NAME.fullmatch(fields.get(b"k", b""))
+    if write == (cls.effect == "safe") or keyless:
+        raise BadRequest("class does not go with this command")
+    gateways = settings.gateways
+    if not (0 < units <= settings.most_units and 1 <= spread <= gateways and first < gateways
+            and left <= MOST_LEFT):
+        raise BadRequest("field out of range")
+    return api.Request(name.decode(), left - WAY_BACK, customer.decode().lower(), plan, cls.name, units,
+                       first, spread, fields.get(b"r") == b"1", write)
--- /dev/null
+++ b/calicomast/fronts/resp/front.py
@@ -0,0 +1,54 @@
+"""The RESP2 front: commands to the core, its answers to the connections they came by."""
+
+from __future__ import annotations
+
+import logging
+import socket
+
+from calicomast.core.life import Core, InWork
+from calicomast.fronts.resp.command import BadRequest, read_command
+from calicomast.fronts.resp.server import FAILED, ClientServer, Slot
+
+PONG = b"+PONG\r\n"
+
+log = logging.getLogger(__name__)
+
+
+class RespFront:
+    """One listener. At most `most` connections and `most_partial` bytes of half commands on all of them."""
+
+    def __init__(self, core: Core, most: int, most_partial: int) -> None:
+        self.core = core
+        self.server = ClientServer(self, most, most_partial)
+        core.join(self)
+
+    async def listen(self, host: str, port: int, sock: socket.socket | None = None) -> int:
+        """Returns the port that clients connect to; `sock` listens already, in place of a new one."""
+        return await self.server.listen(host, port, sock)
+
+    def finish(self) -> None:
+        """No new connections; each one that there is closes once all it asked has been answered."""
+        self.server.finish()
+
+    def close(self) -> None:
+        self.server.close()
+        self.core.leave(self)
+
+    def command(self, slot: Slot, command: object) -> None:
+        if command == [b"PING"] or command == [b"ping"]:
+            serving = self.core.ready and not self.core.stopping
+            slot.reply(PONG if serving else b"-ERR not ready\r\n")
+            return
+        try:
+            request, order = read_command(self.core.settings, command)
+            self.core.take(self, request, order, slot)
+        except BadRequest as err:
+            slot.reply(b"-ERR %s\r\n" % str(err).encode())
+        except InWork:
+            slot.reply(b"-ERR this id is in work\r\n")
+        except Exception:
+            log.exception("a command could not be taken")
+            slot.reply(FAILED)
+
+    def gone(self, slot: Slot) -> None:
+        self.core.gone(slot)
--- a/calicomast/net/clients.py
+++ b/calicomast/fronts/resp/server.py
@@ -8,12 +8,14 @@
 
 import asyncio
 import fcntl
+import math
+import socket
 import termios
 from collections import deque
 from time import monotonic
 from typing import Any
 
-from calicomast.net.framing import NO_MESSAGE, Framing, FramingError
+from calicomast.net.framing import NO_MESSAGE, Framing, FramingError, bulk
 
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
 IDLE = 2.2  # s without a command in work, or with half a one, after which a connection is closed
@@ -23,6 +25,7 @@
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
 MOST_LOOKED_AT = 8  # idle connections asked for unread bytes when one has to go
 FAILED = b"-ERR failed\r\n"
+BUSY = b"-BUSY\r\n"
 
 
 class Slot:
@@ -33,13 +36,25 @@
     def __init__(self, client: Client) -> None:
         self.client = client
         self.answer: bytes | None = None
-        self.token: Any = None  # what the handler keeps of a command that it has not answered yet
+        self.token: Any = None  # the core's record of a command that was taken
 
     def reply(self, answer: bytes) -> None:
         if self.answer is None:
             self.answer = answer
             self.client.flush()
 
+    # core.ports.Place
+
+    def served(self, value: bytes) -> None:
+        self.reply(bulk(value))
+
+    def refused(self, wait: float) -> None:
+        ms = math.ceil(wait * 1000)
+        self.reply(b"-BUSY %d\r\n" % ms if ms > 0 else BUSY)
+
+    def failed(self) -> None:
+        self.reply(FAILED)
+
 
 class Client(asyncio.Protocol):
     def __init__(self, server: ClientServer) -> None:
@@ -164,11 +179,16 @@
         self.listener: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
 
-    async def listen(self, host: str, port: int) -> int:
+    async def listen(self, host: str, port: int, sock: socket.socket | None = None) -> int:
+        """`sock`: a socket that listens already, taken in place of a new one at `host` and `port`."""
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
+        if sock is not None:
+            self.listener = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
+        else:
+            self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
         self.sweep()
-        return self.listener.sockets[0].getsockname()[1]
+        port = self.listener.sockets[0].getsockname()[1]
+        return port
 
     def joined(self, client: Client) -> None:
         self.clients.add(client)
--- a/calicomast/net/discovery.py
+++ b/calicomast/membership/discovery.py
@@ -10,7 +10,8 @@
 
 import aiohttp
 
-from calicomast.net.listing import Address, Listing, read_list
+from calicomast.membership.listing import Listing, read_list
+from calicomast.net.address import Address
 
 WAIT = 5.0  # s that discovery may hold a watch open
 ANSWER = 2.0  # s past that, or for the whole list, after which the call is given up
--- a/calicomast/net/listing.py
+++ b/calicomast/membership/listing.py
@@ -7,18 +7,10 @@
 from typing import Any
 
 from calicomast import interface as api
+from calicomast.net.address import Address, read_address
 
 STATE = {"up": "up", "draining": "leaving", "removed": "down"}
 
-Address = tuple[str, int]
-
-
-def read_address(text: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isdecimal() and int(port) < 65536):
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return host.strip("[]"), int(port)
-
 
 @dataclass(frozen=True, slots=True)
 class Listing:
--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -18,6 +18,11 @@
 NO_MESSAGE: Any = object()  # more bytes are needed (None and False are values)
 
 
+def bulk(data: bytes) -> bytes:
+    """A RESP2 bulk string."""
+    return b"$%d\r\n%s\r\n" % (len(data), data)
+
+
 class FramingError(Exception):
     """What came is no RESP message that anyone here can use; nothing behind it can be read."""
 
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -19,8 +19,8 @@
 
 import hiredis
 
+from calicomast.net.address import Address
 from calicomast.net.framing import MOST_BODY, NO_MESSAGE, Framing, FramingError
-from calicomast.net.listing import Address
 from calicomast.settings import read_report
 
 REST = 0.002  # s after an answer in which what came behind it, a second copy or noise, can still show itself
@@ -309,6 +309,8 @@
 
 
 class Hosts:
+    attempt = Attempt
+
     def __init__(self, connect_timeout: float, idle_close: float, most: int) -> None:
         self.connect_timeout, self.most = connect_timeout, most
         self.idle_time = idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
@@ -326,6 +328,9 @@
         if address is not None and host not in self.pools:
             self.pools[host] = Pool(self, address)
 
+    def known(self) -> set[str]:
+        return set(self.pools)
+
     def send(self, attempt: Attempt, timeout: float) -> None:
         loop = asyncio.get_running_loop()
         pool = self.pools.get(attempt.host)
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -8,8 +8,8 @@
 import uvloop
 from aiohttp import web
 
-from calicomast.net.config import read_config
-from calicomast.net.gateway import GatewayNode
+from calicomast.daemon.config import read_config
+from calicomast.daemon.node import GatewayNode
 
 PATIENCE = 20  # s for a test as a whole: far over what any needs
 TERMS = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
@@ -237,7 +237,7 @@
     async def __aexit__(self, *_):
         for writer in self.writers:
             writer.close()
-        self.node.clients.finish()
+        self.node.fronts[0].finish()
         self.node.hosts.close()
         self.node.counter.close()
         await self.node.discovery.close()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -6,7 +6,7 @@
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
 
-from calicomast.net import clients
+from calicomast.fronts.resp import server as clients
 
 
 @pytest.mark.parametrize("bad", [
@@ -68,7 +68,7 @@
         await host.arrived.get()
         writer.close()
         assert await host.arrived.get() is None  # the connection to the host ended
-        assert not node.node.works
+        assert not node.node.core.works
 
 
 @on_loop
@@ -77,7 +77,7 @@
         reader, writer = await node.connect()
         writer.write(command(b"first"))
         await host.arrived.get()
-        node.node.clients.finish()
+        node.node.fronts[0].server.finish()
         writer.write(command(b"second"))
         while (await host.arrived.get())[2] != b"second":
             pass
@@ -96,9 +96,10 @@
         writer.write(sent)
         assert (await read_reply(reader)).startswith(told)
         assert await reader.read() == b""
-        while node.node.clients.clients:
+        while node.node.fronts[0].server.clients:
             await asyncio.sleep(0.01)
-        assert not (node.node.clients.idle or node.node.clients.ending or node.node.clients.partial)
+        server = node.node.fronts[0].server
+        assert not (server.idle or server.ending or server.partial)
 
 
 @on_loop
@@ -124,7 +125,7 @@
         assert await read_reply(reader) == b"-ERR failed\r\n"  # its one answer, though the host is silent
         assert (await read_reply(reader)).startswith(b"-ERR protocol")
         assert await reader.read() == b""  # an end, not a reset, though there was more to read
-        assert await host.arrived.get() is None and not node.node.works
+        assert await host.arrived.get() is None and not node.node.core.works
 
 
 @on_loop
@@ -138,16 +139,16 @@
                 for n in range(400):
                     writer.write(command(b"r%d" % n))
                     await writer.drain()
-            while node.node.clients.clients:
+            while node.node.fronts[0].server.clients:
                 await asyncio.sleep(0.01)
-            assert not (node.node.works or node.node.held)
+            assert not (node.node.core.works or node.node.core.held.used)
 
 
 @on_loop
 async def test_at_the_limit_the_longest_idle_goes_and_with_all_busy_the_newcomer(tmp_path):
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
-        node.node.clients.most = 2
-        node.node.module.fleet.limit = 100.0
+        node.node.fronts[0].server.most = 2
+        node.node.core.module.fleet.limit = 100.0
         first, _ = await node.connect()
         busy = []
         for n in range(2):
@@ -166,7 +167,7 @@
 @on_loop
 async def test_half_commands_together_are_bounded(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        node.node.clients.most_partial = 100_000
+        node.node.fronts[0].server.most_partial = 100_000
         readers = []
         for _ in range(3):
             reader, writer = await node.connect()
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -5,7 +5,7 @@
 import pytest
 from netkit import SERVED, SETTINGS, Node, StubCounter, StubHost, command, on_loop, terms
 
-from calicomast.net.counter import LINES
+from calicomast.counting.client import LINES
 
 
 @on_loop
@@ -131,9 +131,9 @@
         while any(line.transport is None for line in node.node.counter.lines):
             await asyncio.sleep(0)
         await node.ask(command())
-        (acct,) = node.node.module.accounts.values()
+        (acct,) = node.node.core.module.accounts.values()
         now = acct.start + acct.length + 1.0  # early in a window, whenever this runs
-        node.node.clock = lambda: now
+        node.node.core.clock = lambda: now
         await node.ask(command(b"r"))
         acct.debt = 10 / 3  # an overdraft of the last window, brought along once the first call is answered
         replies = [await node.ask(command(b"r%d" % n)) for n in range(90)]
@@ -153,10 +153,10 @@
             return (await node.ask(command(b"r%d" % n, terms(spread=2)))) == SERVED
 
         await ask(1)
-        (acct,) = node.node.module.accounts.values()
+        (acct,) = node.node.core.module.accounts.values()
         now = acct.start + acct.length + 0.5  # at the same place of its windows, whenever this runs
         for window in range(4):  # all that the counter tells of is used here, though two could
-            node.node.clock = lambda at=now + 2 * window: at
+            node.node.core.clock = lambda at=now + 2 * window: at
             for n in range(14):
                 await ask(100 * window + n)
         node.counter.server.close()
@@ -164,5 +164,5 @@
             writer.transport.abort()
         while any(line.transport for line in lines):
             await asyncio.sleep(0)
-        node.node.clock = lambda: now + 20
+        node.node.core.clock = lambda: now + 20
         assert sum([await ask(1000 + n) for n in range(20)]) > 15
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -7,8 +7,8 @@
 from netkit import SERVED, Node, StubHost, command, entry, on_loop
 
 from calicomast import interface as api
-from calicomast.net import discovery
-from calicomast.net.listing import read_list
+from calicomast.membership import discovery
+from calicomast.membership.listing import read_list
 
 
 @on_loop
@@ -92,7 +92,7 @@
                     return [api.Fail(event.id)]
                 return [api.Send(event.id, "h1")] if isinstance(event, api.Request) else []
 
-        node.node.module = Sender()
+        node.node.core.module = Sender()
         asked = asyncio.create_task(node.ask(command()))
         pool = node.node.hosts.pools["h1"]
         while not pool.coming:  # the attempt waits for its connection
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -8,7 +8,7 @@
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
 
 from calicomast import interface as api
-from calicomast.net import gateway
+from calicomast.core import life as gateway
 
 
 @on_loop
@@ -47,7 +47,7 @@
 @on_loop
 async def test_an_exception_in_the_module_fails_that_request_only(tmp_path, caplog):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        module, real = node.node.module, node.node.module.handle
+        module, real = node.node.core.module, node.node.core.module.handle
 
         class Broken:
             def handle(self, now, event):
@@ -55,11 +55,11 @@
                     raise RuntimeError("broken")
                 return real(now, event)
 
-        node.node.module = Broken()
+        node.node.core.module = Broken()
         with caplog.at_level(logging.CRITICAL):
             assert await node.ask(command(b"bad")) == b"-ERR failed\r\n"
             assert await node.ask(command(b"good")) == SERVED
-        assert module.jobs == {} and not node.node.works
+        assert module.jobs == {} and not node.node.core.works
 
 
 @on_loop
@@ -70,7 +70,7 @@
             def handle(self, now, event):
                 return []
 
-        node.node.module = Mute()
+        node.node.core.module = Mute()
         began = time.monotonic()
         assert await node.ask(command(terms=terms(d="2300"))) == b"-ERR failed\r\n"
         assert time.monotonic() - began < 2.3
@@ -90,12 +90,12 @@
                     self.done.set()
                 return []
 
-        node.node.module = clocked = Clocked()
+        node.node.core.module = clocked = Clocked()
         due = {}
         for n in range(300):
             delay = 0.0101 + n * 0.00037
-            due[n] = node.node.clock() + delay
-            node.node.set_timer(api.SetTimer(delay, n))
+            due[n] = node.node.core.clock() + delay
+            node.node.core.set_timer(api.SetTimer(delay, n))
         await clocked.done.wait()
         assert clocked.early == []
 
@@ -140,7 +140,7 @@
                     return [api.Fail(event.id)]
                 return []
 
-        node.node.module = Doubler()
+        node.node.core.module = Doubler()
         assert (await node.ask(command())).startswith(b"-ERR")
         assert Doubler.results[0] == "moot" and not two.commands
 
@@ -153,7 +153,7 @@
         async with Node(sound, failing, path=tmp_path) as node:
             if not turned_away:
                 failing.server.close()  # its process died, and the list does not tell it yet
-            module, tried, came = node.node.module.handle, [], []
+            module, tried, came = node.node.core.module.handle, [], []
 
             def handle(now, event):
                 came.extend([event] * isinstance(event, api.Request))
@@ -161,7 +161,7 @@
                 tried.extend(a for a in actions if isinstance(a, api.Send) and a.host == "h2")
                 return actions
 
-            node.node.module.handle = handle
+            node.node.core.module.handle = handle
             asks = [asyncio.ensure_future(node.ask(command(b"r%d" % n))) for n in range(asked)]
             while len(came) < asked or not sound.commands:
                 await asyncio.sleep(0)
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -24,7 +24,7 @@
                                     b":7\r\n", b"$8\r\nactive=x\r\n")):
             host.answer = b"*3\r\n$1\r\nv\r\n$-1\r\n" + report
             assert await node.ask(command(b"r%d" % n)) == b"$1\r\nv\r\n"
-        assert not node.node.module.fleet.reports
+        assert not node.node.core.module.fleet.reports
 
 
 @pytest.mark.parametrize("odd", [b"+OK\r\n", b"$2\r\nOK\r\n", b"*0\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n",
@@ -55,8 +55,8 @@
                     done.set()
                 return []
 
-        node.node.module = Watcher()
-        node.node.probe(api.Probe("h1"))
+        node.node.core.module = Watcher()
+        node.node.core.probe(api.Probe("h1"))
         await done.wait()
         assert host.commands == [[b"INFO", b"load"]]
         assert seen[0].result == "ok" and seen[0].report == {"inflight": 7.0}
@@ -117,7 +117,7 @@
 async def test_the_cap_on_connections_holds(tmp_path):
     async with StubHost(answer=None) as host, Node(host, path=tmp_path) as node:
         node.node.hosts.most = 2
-        node.node.module.fleet.limit = 100.0
+        node.node.core.module.fleet.limit = 100.0
         asked = [asyncio.create_task(node.ask(command(b"r%d" % n, terms=terms(d="500")))) for n in range(6)]
         await asyncio.gather(*asked)
         assert len(host.writers) <= 2 * 3 and node.node.hosts.open <= 2
@@ -133,12 +133,12 @@
                     return [api.Send(event.id, "h1")]
                 return [api.Send(event.id, "h2")] if getattr(event, "result", "") == "cancelled" else []
 
-        node.node.module = Mover()
+        node.node.core.module = Mover()
         asked = asyncio.create_task(node.ask(command()))
         await one.arrived.get()
-        (attempt,) = node.node.works["r1"].live.values()
+        (attempt,) = node.node.core.works["r1"].live.values()
         ended = socket.socket(fileno=os.dup(attempt.conn.descriptor))
-        node.node.cancel(api.Cancel("r1", 0))
+        node.node.core.cancel(api.Cancel("r1", 0))
         with pytest.raises(OSError):  # the socket was shut at once, not in a later turn of the loop
             ended.send(b"x")
         ended.close()
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -11,7 +11,7 @@
 import pytest
 from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
 
-from calicomast.net.counter import LINES
+from calicomast.counting.client import LINES
 
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
