--- a/calicomast/core/life.py
+++ b/calicomast/core/life.py
@@ -177,7 +177,7 @@
         self.forget(work)
 
     def forget(self, work: Work) -> None:
-        if work.over and not work.live and self.works.pop(work.id, None):
+        if work.over and not work.live and self.works.pop(work.id, None) is not None:
             self.open.give(work.front, 1)
             self.held.give(work.front, work.order.size)
             if self.stopping and not self.works:
--- a/calicomast/daemon/config.py
+++ b/calicomast/daemon/config.py
@@ -21,7 +21,7 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None
     counter: Address | None
     seed: int
     memory: int  # bytes past which the process is killed
@@ -31,6 +31,10 @@
     connect_timeout: float
     idle_close: float  # hosts close a connection that has stood idle for this long
     max_open: int  # requests in work at once
+    more: tuple[Address, ...] = ()  # further listeners
+    hosts_file: str | None = None  # in place of a discovery
+    linger: float = 0.5  # s after SIGTERM in which connections still come
+    finish: float = 3.4  # s after SIGTERM by which everything is answered: the platform's SIGKILL is not far
 
 
 def read_config(env: Mapping[str, str] = os.environ, again: bool = False) -> Config:
--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -4,56 +4,111 @@
 
 import asyncio
 import logging
+import socket
 import time
+from collections.abc import Coroutine, Mapping
+from dataclasses import replace
+from typing import Protocol
 
-from calicomast.core.life import Core
+from calicomast import interface as api
+from calicomast.core.life import Clock, Core
 from calicomast.counting.client import Counter
 from calicomast.daemon.config import Config
 from calicomast.fronts.resp.front import RespFront
 from calicomast.membership.discovery import Discovery
 from calicomast.membership.listing import Listing
+from calicomast.net.address import Address
 from calicomast.net.hosts import Hosts
 from calicomast.policy import Gateway
 
 OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
-LINGER = 0.5  # s after SIGTERM in which connections still come
-FINISH = 3.4  # s after SIGTERM by which everything is answered: SIGKILL is not far
 
 log = logging.getLogger(__name__)
 
 
+class Source(Protocol):
+    """A source of the list of hosts: core.ports.Membership, and its end."""
+
+    version: int
+
+    @property
+    def watching(self) -> object: ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
 class GatewayNode:
+    """`start`, `reload`, `stop`; for a hand-over `prepare`, `begin`, `pause`, `resume` in their place."""
+
     def __init__(self, config: Config) -> None:
         self.config, self.loop = config, asyncio.get_running_loop()
-        self.room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)  # half of it is for clients
+        # Connections, half of them clients'.
+        self.room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
         # Bodies in work and half commands are bounded: past the limit of memory the program is killed.
         self.most_held = max(LEAST_HELD, (config.memory - OWN_MEMORY) // 4)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, self.room // 2)
         settings = config.settings
         self.counter = Counter(config.counter, settings.counter_timeout) if config.counter else None
-        self.core = Core(settings, None, self.hosts, self.counter, self.loop, config.max_open, self.most_held)
-        self.core.module = Gateway(settings, config.seed, self.core.clock())
-        self.fronts = [RespFront(self.core, self.room // 2, self.most_held)]
-        self.core.membership = self.discovery = self.watcher(config, config.known.hosts.version)
-        self.endings: set[asyncio.Task[None]] = set()  # what a new configuration replaced, until it has ended
+        self.core = Core(settings, self.module(), self.hosts, self.counter, self.loop, config.max_open,
+                         self.most_held)
+        self.listing = config.known  # the whole list as it is now
+        self.fronts = [self.front(address) for address in (config.listen, *config.more)]
+        self.core.membership = self.discovery = self.source(config, config.known.hosts.version)
+        self.endings: set[asyncio.Task[None]] = set()  # what a reload replaced, until it has ended
+
+    def module(self) -> Gateway:
+        return Gateway(self.config.settings, self.config.seed, Clock()())
+
+    def front(self, address: Address) -> RespFront:
+        return RespFront(self.core, self.room // 2, self.most_held, address)
 
-    def watcher(self, config: Config, version: int) -> Discovery:
+    def share(self) -> None:
+        """Fronts have even parts of the connections and of the bytes of half commands."""
+        for front in self.fronts:
+            front.server.most = self.room // 2 // len(self.fronts)
+            front.server.most_partial = self.most_held // len(self.fronts)
+
+    def source(self, config: Config, version: int) -> Source:
+        if config.hosts_file is not None:
+            from calicomast.membership.file import HostsInFile  # the platform's `run` does without
+
+            return HostsInFile(config.hosts_file, self.listed, self.core.list_failed)
+        assert config.discovery is not None
         return Discovery(config.discovery, version, self.listed, self.core.list_failed)
 
     def listed(self, listing: Listing) -> None:
+        self.listing = merged(self.listing, listing)
         self.core.listed(listing.hosts, listing.addresses)
 
-    async def start(self) -> int:
-        """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
+    def prepare(self) -> None:
+        """All but the listeners: hosts, counter, membership. Before the first client the module knows its
+        hosts."""
         self.listed(self.config.known)
         self.hosts.start_checks()
         if self.counter:
             self.counter.start()
         if self.core.settings.discovery == "push":
             self.discovery.watch(True)
-        return await self.fronts[0].listen(*self.config.listen)
+
+    async def listen(self, sockets: Mapping[Address, socket.socket] | None = None) -> int:
+        """Returns the first front's port. `sockets` are used, and kept open, in place of new ones; each front
+        gets a duplicate."""
+        self.share()
+        for front in self.fronts:
+            given = sockets.get(front.address) if sockets else None
+            await front.listen(given.dup() if given is not None else None)
+        return self.fronts[0].port
+
+    async def start(self) -> int:
+        """Returns the port that clients connect to."""
+        self.prepare()
+        return await self.listen()
 
     def reload(self, config: Config) -> None:
         """Goes over to the addresses of a new configuration. The rest of it holds from the next start on."""
@@ -64,27 +119,96 @@
             log.warning("only new addresses of discovery and counter are taken up before the next start")
         if self.counter and config.counter:
             self.counter.move(config.counter)
-        replaced = self.discovery
-        self.core.membership = self.discovery = self.watcher(config, replaced.version)
+        self.go_over(self.source(config, self.discovery.version))
+        if config.discovery:
+            log.info("new configuration: discovery %s:%d", *config.discovery)
+
+    def go_over(self, source: Source) -> None:
+        """Takes the list of hosts from elsewhere from now on; the last list stays until that one tells its
+        own."""
+        replaced, self.discovery = self.discovery, source
+        self.core.membership = source
         if replaced.watching:  # the watch begins with the whole list: another service has versions of its own
-            self.discovery.watch(True)
-        ending = self.loop.create_task(replaced.close())
+            source.watch(True)
+        self.ending(replaced.close())
+
+    def ending(self, coroutine: Coroutine[object, object, None]) -> None:
+        ending = self.loop.create_task(coroutine)
         self.endings.add(ending)
         ending.add_done_callback(self.endings.discard)
-        log.info("new configuration: discovery %s:%d", *config.discovery)
 
-    async def stop(self) -> None:
+    # Reload of our own settings: what is built is swapped in here, and cannot fail any more
+
+    def swap(self, config: Config, added: list[RespFront], gone: set[Address], source: Source | None) -> None:
+        old, self.config = self.config, config
+        if config.counter != old.counter and self.counter and config.counter:
+            self.counter.move(config.counter)
+        if source is not None:
+            self.go_over(source)
+        self.core.open.most = config.max_open
+        leaving = [front for front in self.fronts if front.address in gone]
+        self.fronts = [front for front in self.fronts if front.address not in gone] + added
+        self.share()
+        for front in leaving:
+            front.finish()
+            self.ending(self.left(front))
+
+    async def left(self, front: RespFront) -> None:
+        """A front whose listener is gone: what it took is answered, then its connections end."""
+        await front.drained()
+        front.close()
+
+    # A hand-over
+
+    async def pause(self) -> None:
+        """No new connections here; whoever else holds the listening sockets accepts them. The ceilings'
+        stores fill no further: from now on the successor's do."""
+        for front in self.fronts:
+            front.pause()
+        self.core.feed(api.Retire(True))
+
+    async def resume(self, sockets: Mapping[Address, socket.socket]) -> None:
+        """The successor failed: goes on as before."""
+        self.core.feed(api.Retire(False))
+        await self.listen(sockets)
+
+    def begin(self, listing: Listing) -> None:
+        """The decision module begins its life now, with the predecessor's last list of hosts."""
+        self.core.module = self.module()
+        self.listing = merged(self.listing, listing)
+        whole = replace(self.listing.hosts, mode="cached")
+        self.core.feed(whole)
+
+    # The end
+
+    async def stop(self, linger: float | None = None) -> None:
         """After SIGTERM: goes on while connections still come, then finishes what it has taken."""
         began = time.monotonic()
         self.core.stopping = True
-        await asyncio.sleep(LINGER)
+        await asyncio.sleep(self.config.linger if linger is None else linger)
         for front in self.fronts:
             front.finish()
-        await self.core.drain(began + FINISH - time.monotonic())
+        await self.core.drain(began + self.config.finish - time.monotonic())
         await asyncio.sleep(0)  # the last answers are written at the end of this turn
         for front in self.fronts:
             front.close()
         self.hosts.close()
         if self.counter:
             self.counter.close()
-        await asyncio.gather(self.discovery.close(), *self.endings)
+        await self.discovery.close()
+        for ending in list(self.endings):
+            ending.cancel()
+        await asyncio.gather(*self.endings, return_exceptions=True)
+
+
+def merged(old: Listing, new: Listing) -> Listing:
+    """The whole list after `new`, which may be a delta."""
+    if new.hosts.mode != "delta":
+        return new
+    hosts = {h.id: h for h in old.hosts.hosts} | {h.id: h for h in new.hosts.hosts}
+    kept = tuple(h for h in hosts.values() if h.state != "down")
+    addresses = {**old.addresses, **new.addresses}
+    return Listing(api.HostList("full", new.hosts.version, kept),
+                   {h.id: addresses[h.id] for h in kept if h.id in addresses})
+
+
--- /dev/null
+++ b/calicomast/daemon/settings.py
@@ -0,0 +1,285 @@
+"""Our own settings file, in people's terms: seconds, addresses, classes, plans, hosts. `deploy/gateway.toml`
+has every key at its default.
+
+`read_settings(path)` gives checked Settings or raises checked.Faulty with all that is wrong; `to_config`
+makes of them what the gateway is built from.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from calicomast import interface as api
+from calicomast.checked import Faulty, Reader, read_toml
+from calicomast.daemon.config import Config
+from calicomast.membership.file import read_hosts
+from calicomast.membership.listing import Listing
+from calicomast.net.address import Address, read_address
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Span = Annotated[float, msgspec.Meta(ge=0, le=3600)]  # s; 0 where it is allowed to be none
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Many = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
+
+
+class Part(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A table of the file."""
+
+
+class GatewayPart(Part, frozen=True, kw_only=True):
+    name: Name = "gateway-0"
+    index: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
+    gateways: Many = 1
+    zone: str = "a"
+    seed: Annotated[int, msgspec.Meta(ge=0)] = 0  # 0: drawn at each start
+
+
+class ListenerPart(Part, frozen=True, kw_only=True):
+    protocol: Literal["resp"] = "resp"
+    address: str = "127.0.0.1:6379"
+
+
+class LimitsPart(Part, frozen=True, kw_only=True):
+    memory_mb: Annotated[int, msgspec.Meta(ge=48, le=1_000_000)] = 192
+    sockets: Annotated[int, msgspec.Meta(ge=128, le=1_000_000)] = 1024
+    max_open: Many = 20_000
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 3
+    max_units: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 1.0
+    cancel: bool = True
+    second_copies: bool = False
+    retry_after: bool = True
+    max_retry_after: Span = 2.0
+    connect_timeout: Seconds = 0.25
+
+
+class RulesPart(Part, frozen=True, kw_only=True):
+    drain_grace: Span = 2.0
+    cold_share: Share = 0.15
+    cold_time: Span = 17.0
+    fall_multiple: Amount = 2.0
+    fall_time: Seconds = 2.0
+
+
+class HostsPart(Part, frozen=True, kw_only=True):
+    source: Literal["file", "discovery"] = "file"
+    file: str = "hosts.toml"
+    discovery: str = ""
+    idle_close: Seconds = 30.0
+    reports: list[Literal["inflight", "queue", "util", "latency"]] = []
+    cross_zone: Share = 0.0
+
+
+class CounterPart(Part, frozen=True, kw_only=True):
+    address: str = ""
+    timeout: Seconds = 0.08
+    price: Share = 0.01
+
+
+class ClassPart(Part, frozen=True, kw_only=True):
+    effect: Literal["safe", "keyed", "unsafe"]
+    aim: Seconds
+    deadline: Seconds
+    worth: Amount = 1.0
+    scope: Literal["all", "zone", "cell"] = "all"
+    memory: Span = 0.0
+
+
+class PlanPart(Part, frozen=True, kw_only=True):
+    rate: Amount = 0.0
+    burst: Amount = 0.0
+    open_limit: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
+    price: Amount = 1.0
+    over_worth: Amount = 0.0
+    over_cost: Amount = 0.5
+    ceiling_rate: Amount = 0.0
+    ceiling_burst: Amount = 0.0
+    ceiling_slack: Amount = 0.0
+
+
+class DaemonPart(Part, frozen=True, kw_only=True):
+    state: str = ""
+    linger: Span = 0.5
+    finish: Seconds = 10.0
+    handover_wait: Seconds = 15.0
+    log_lines: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 5
+
+
+class Settings(Part, frozen=True, kw_only=True):
+    gateway: GatewayPart = GatewayPart()
+    listeners: list[ListenerPart] = [ListenerPart()]
+    limits: LimitsPart = LimitsPart()
+    rules: RulesPart = RulesPart()
+    hosts: HostsPart = HostsPart()
+    counter: CounterPart = CounterPart()
+    classes: dict[str, ClassPart] = {}
+    plans: dict[str, PlanPart] = {}
+    daemon: DaemonPart = DaemonPart()
+
+
+# What a reload takes up. All else holds from the next start on, or the next hand-over.
+LIVE = ("listeners", "hosts.source", "hosts.file", "hosts.discovery", "counter.address", "limits.max_open",
+        "daemon.linger", "daemon.finish", "daemon.handover_wait", "daemon.log_lines")
+BESIDE = ("listeners", "daemon")  # what may be told beside the platform's RELAY_CONFIG
+
+
+def read_settings(path: str, beside: bool = False) -> Settings:
+    """`beside`: the platform's configuration tells the rest. Raises checked.Faulty."""
+    tree = read_toml(path)
+    reader = Reader(path)
+    if beside:
+        for name in [name for name in tree if name in msgspec.structs.asdict(Settings())
+                     and name not in BESIDE]:
+            reader.fault(name, None, "is told by RELAY_CONFIG",
+                         f"beside it only {' and '.join(BESIDE)} go here")
+    settings = reader.read(tree, Settings)
+    if settings is not None:
+        check(reader, settings, beside)
+    if reader.faults or settings is None:
+        raise Faulty(reader.faults)
+    return settings
+
+
+def check(reader: Reader, told: Settings, beside: bool) -> None:
+    """What no single key shows."""
+    addresses: dict[Address, str] = {}
+    for number, listener in enumerate(told.listeners):
+        key = f"listeners[{number}].address"
+        address = check_address(reader, key, listener.address)
+        if address is not None and address[1] and address in addresses:
+            reader.fault(key, listener.address, f"is also that of {addresses[address]}",
+                         "give each its own port")
+        elif address is not None:
+            addresses[address] = key
+    if beside:
+        return
+    if not told.listeners:
+        reader.fault("listeners", None, "none", "add one [[listeners]]")
+    if not told.classes:
+        reader.fault("classes", None, "none", "add [classes.NAME] with effect, aim and deadline")
+    if not told.plans:
+        reader.fault("plans", None, "none", "add [plans.NAME] with rate and burst")
+    if told.gateway.index >= told.gateway.gateways:
+        reader.fault("gateway.index", told.gateway.index, f"of {told.gateway.gateways} gateways",
+                     "they are numbered from 0")
+    if told.gateway.gateways > 1 and not told.counter.address:
+        reader.fault("counter.address", told.counter.address,
+                     "several gateways cannot hold a quota without a counter",
+                     "name the counter that they share")
+    if told.counter.address:
+        check_address(reader, "counter.address", told.counter.address)
+    if told.hosts.source == "discovery":
+        check_address(reader, "hosts.discovery", told.hosts.discovery)
+    for name, cls in told.classes.items():
+        check_class(reader, f"classes.{name}", cls, told.daemon.finish)
+    for name, plan in told.plans.items():
+        check_plan(reader, f"plans.{name}", plan, told.limits.max_units)
+
+
+def check_address(reader: Reader, key: str, text: str) -> Address | None:
+    try:
+        return read_address(text)
+    except ValueError:
+        reader.fault(key, text, "is no address", "write it as HOST:PORT, an IPv6 host in brackets")
+        return None
+
+
+def check_class(reader: Reader, key: str, cls: ClassPart, finish: float) -> None:
+    if cls.aim > cls.deadline:
+        reader.fault(f"{key}.aim", cls.aim, f"is after the deadline of {cls.deadline}", "aim at or before it")
+    if cls.effect == "keyed" and not cls.memory:
+        reader.fault(f"{key}.memory", cls.memory, "a keyed class whose repeats nobody drops",
+                     "say for how long hosts drop a repeat, or make it unsafe")
+    if cls.effect != "keyed" and cls.memory:
+        reader.fault(f"{key}.memory", cls.memory, f"a class that is {cls.effect} has no repeats to drop",
+                     "leave it out, or make it keyed")
+    if cls.effect != "keyed" and cls.scope != "all":
+        reader.fault(f"{key}.scope", cls.scope, f"a class that is {cls.effect} has no scope", "leave it out")
+    if cls.deadline > finish:
+        reader.fault(f"{key}.deadline", cls.deadline,
+                     f"is longer than daemon.finish = {finish}: a stop would fail "
+                     "what it has taken", "let daemon.finish be as long as the longest deadline")
+
+
+def check_plan(reader: Reader, key: str, plan: PlanPart, most_units: float) -> None:
+    if plan.rate and plan.burst < most_units:
+        reader.fault(f"{key}.burst", plan.burst, f"the largest request ({most_units} units) never fits",
+                     "a rate needs a burst of at least limits.max_units")
+    if plan.ceiling_rate and plan.ceiling_rate < plan.rate:
+        reader.fault(f"{key}.ceiling_rate", plan.ceiling_rate, f"lies under the quota's rate of {plan.rate}",
+                     "a ceiling lies at or over the quota")
+    if plan.ceiling_rate and plan.ceiling_burst < plan.burst:
+        reader.fault(f"{key}.ceiling_burst", plan.ceiling_burst,
+                     f"lies under the quota's burst of {plan.burst}",
+                     "a ceiling lies at or over the quota")
+    if plan.ceiling_burst and not plan.ceiling_rate:
+        reader.fault(f"{key}.ceiling_rate", plan.ceiling_rate, "a ceiling's burst without its rate",
+                     "add the rate")
+    if not (plan.rate or plan.open_limit):
+        reader.fault(key, None, "sets neither a rate nor a limit of open attempts", "add rate and burst")
+
+
+# To what the gateway is built from
+
+
+def to_config(path: str, told: Settings) -> Config:
+    """Reads the file of hosts too, if they come from one. Raises checked.Faulty."""
+    known, file = Listing(api.HostList("cached", 0, ()), {}), None
+    if told.hosts.source == "file":
+        file = os.path.join(os.path.dirname(os.path.abspath(path)), told.hosts.file)
+        known = read_hosts(file, "cached")
+    listeners = [read_address(listener.address) for listener in told.listeners]
+    return Config(
+        name=told.gateway.name, listen=listeners[0], more=tuple(listeners[1:]),
+        discovery=read_address(told.hosts.discovery) if told.hosts.source == "discovery" else None,
+        hosts_file=file, counter=read_address(told.counter.address) if told.counter.address else None,
+        seed=told.gateway.seed or random.SystemRandom().getrandbits(63),
+        memory=told.limits.memory_mb * 1024 * 1024, sockets=told.limits.sockets, known=known,
+        settings=to_module(told), connect_timeout=told.limits.connect_timeout,
+        idle_close=told.hosts.idle_close, max_open=told.limits.max_open, linger=told.daemon.linger,
+        finish=told.daemon.finish)
+
+
+def to_module(told: Settings) -> api.Settings:
+    """What the decision module is told."""
+    limits, rules = told.limits, told.rules
+    return api.Settings(
+        index=told.gateway.index, gateways=told.gateway.gateways, zone=told.gateway.zone,
+        classes={name: api.ServiceClass(name, c.aim, c.deadline, c.effect, c.scope, c.memory, c.worth, 0.0,
+                                        False, 0.0)
+                 for name, c in told.classes.items()},
+        plans={name: api.Plan(name, p.rate, p.burst, p.open_limit, p.price, p.over_worth, p.over_cost,
+                              p.ceiling_rate,
+                              p.ceiling_burst, p.ceiling_slack) for name, p in told.plans.items()},
+        limits=api.Limits(limits.cancel, limits.second_copies, False, False, limits.retry_after,
+                          limits.max_attempts,
+                          limits.max_retry_after),
+        rules=api.Rules(0.0, rules.drain_grace, rules.cold_share, rules.cold_time, rules.fall_multiple,
+                        rules.fall_time, 0.0),
+        prices={"cross_zone": told.hosts.cross_zone}, counter=bool(told.counter.address),
+        counter_price=told.counter.price, counter_timeout=told.counter.timeout, meter_period=0.0, settles=False,
+        most_units=limits.max_units, discovery="push", reports=tuple(told.hosts.reports), weights="none")
+
+
+# A reload
+
+
+def changed(old: Settings, new: Settings) -> tuple[list[str], list[str]]:
+    """The keys whose values differ: those that a reload takes up, and those that need a restart."""
+    keys = sorted(key for key, _ in differences(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
+    live = [key for key in keys if key in LIVE]
+    return live, [key for key in keys if key not in live]
+
+
+def differences(old: Any, new: Any, path: str) -> Iterator[tuple[str, Any]]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name in old.keys() | new.keys():
+            yield from differences(old.get(name), new.get(name), f"{path}.{name}" if path else name)
+    elif old != new:
+        yield path, new
--- a/calicomast/fronts/resp/command.py
+++ b/calicomast/fronts/resp/command.py
@@ -70,7 +70,7 @@
     _, customer, name, terms = command[:4]
     pairs = [term.split(b"=", 1) for term in terms.split(b",")]
     try:
-        fields: dict[bytes, bytes] = dict(pairs)  # type: ignore[arg-type]  # a pair that is none raises
+        fields: dict[bytes, bytes] = dict(pairs)  # a pair that is none raises
         cls = settings.classes.get(fields[b"c"].decode())
         plan = fields[b"t"].decode()
         left, units = whole(fields[b"d"]) / 1000, decimal(fields[b"units"])
--- a/calicomast/fronts/resp/front.py
+++ b/calicomast/fronts/resp/front.py
@@ -8,6 +8,7 @@
 from calicomast.core.life import Core, InWork
 from calicomast.fronts.resp.command import BadRequest, read_command
 from calicomast.fronts.resp.server import FAILED, ClientServer, Slot
+from calicomast.net.address import Address
 
 PONG = b"+PONG\r\n"
 
@@ -17,19 +18,27 @@
 class RespFront:
     """One listener. At most `most` connections and `most_partial` bytes of half commands on all of them."""
 
-    def __init__(self, core: Core, most: int, most_partial: int) -> None:
-        self.core = core
+    def __init__(self, core: Core, most: int, most_partial: int, address: Address) -> None:
+        self.core, self.address, self.port = core, address, address[1]
         self.server = ClientServer(self, most, most_partial)
         core.join(self)
 
-    async def listen(self, host: str, port: int, sock: socket.socket | None = None) -> int:
-        """Returns the port that clients connect to; `sock` listens already, in place of a new one."""
-        return await self.server.listen(host, port, sock)
+    async def listen(self, sock: socket.socket | None = None) -> None:
+        """At its address, or on `sock`, which listens already."""
+        self.port = await self.server.listen(*self.address, sock)
+
+    def pause(self) -> None:
+        """No new connections; those that there are go on."""
+        self.server.pause()
 
     def finish(self) -> None:
         """No new connections; each one that there is closes once all it asked has been answered."""
         self.server.finish()
 
+    async def drained(self) -> None:
+        """Until its last connection has ended."""
+        await self.server.empty()
+
     def close(self) -> None:
         self.server.close()
         self.core.leave(self)
--- a/calicomast/fronts/resp/server.py
+++ b/calicomast/fronts/resp/server.py
@@ -178,6 +178,7 @@
         self.stuck: dict[Client, float] = {}
         self.listener: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.last: asyncio.Future[None] | None = None  # waits for the last client to leave
 
     async def listen(self, host: str, port: int, sock: socket.socket | None = None) -> int:
         """`sock`: a socket that listens already, taken in place of a new one at `host` and `port`."""
@@ -186,7 +187,8 @@
             self.listener = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
         else:
             self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
-        self.sweep()
+        if self.timer is None:
+            self.sweep()
         port = self.listener.sockets[0].getsockname()[1]
         return port
 
@@ -213,6 +215,8 @@
 
     def left(self, client: Client) -> None:
         self.clients.discard(client)
+        if not self.clients and self.last is not None and not self.last.done():
+            self.last.set_result(None)
         self.hold(client, 0)
         for place in (self.idle, self.ending, self.stuck):
             place.pop(client, None)
@@ -237,10 +241,18 @@
             for client in [c for c, since in place.items() if since < now - most]:
                 client.transport.abort()
 
-    def finish(self) -> None:
-        """No new connections; each one that there is closes once all it asked has been answered."""
+    def pause(self) -> None:
         if self.listener:
             self.listener.close()
+
+    async def empty(self) -> None:
+        while self.clients:
+            self.last = asyncio.get_running_loop().create_future()
+            await self.last
+
+    def finish(self) -> None:
+        """No new connections; each one that there is closes once all it asked has been answered."""
+        self.pause()
         for client in list(self.clients):
             client.close_when_done()
 
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -219,7 +219,15 @@
     data: bytes
 
 
-Event = HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message
+@dataclass(frozen=True, slots=True)
+class Retire:
+    """On: another process takes this gateway's new connections from now on, under its name. What is fresh
+    from now on (the fill of the ceilings' stores) is that one's. Off: it failed, and all is as before."""
+
+    on: bool
+
+
+Event = HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message | Retire
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -138,8 +138,8 @@
         plan = self.plan
         if not plan.ceiling_rate:
             return math.inf
-        more = (now - self.cap_at) * plan.ceiling_rate / self.spread
-        self.cap, self.cap_at = min(plan.ceiling_burst / self.spread, self.cap + more), now
+        more = max(0.0, now - self.cap_at) * plan.ceiling_rate / self.spread
+        self.cap, self.cap_at = min(plan.ceiling_burst / self.spread, self.cap + more), max(now, self.cap_at)
         return self.cap
 
 
@@ -416,6 +416,7 @@
         self.trial_at = 0.0  # when the queue is looked at for a host's next trial
         self.pass_share, self.pass_at, self.worth = 1.0, now, 0.0  # worth: running mean of a request's
         self.ranks: list[float] = []  # values of the latest requests
+        self.retired_at = math.inf  # since when another process fills this gateway's part of the ceilings
         self.out: list[api.Action] = []
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -439,6 +440,8 @@
                 self.jobs[event.id].streaming = True
             case api.Gone() if event.id in self.jobs:
                 self.close(now, self.jobs[event.id])
+            case api.Retire():
+                self.retired_at = now if event.on else math.inf
         self.drain_queue(now)
         while self.due and self.due[0][1] not in self.jobs:
             heapq.heappop(self.due)
@@ -453,7 +456,7 @@
         cls, plan = self.set.classes[req.cls], self.set.plans[req.plan]
         acct = self.accounts.pop(req.customer, None)
         if acct is None:
-            acct = Account(req, plan, self.born, now, self.rng)
+            acct = Account(req, plan, self.born, min(now, self.retired_at), self.rng)
         self.accounts[req.customer], acct.seen_at = acct, now
         self.free_accounts(now)
         worth = cls.worth * plan.price * req.units
@@ -463,7 +466,7 @@
                                       ("host", "class " + cls.name, "plan " + plan.name))
         if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
             self.refuse(now, job, 0.0)
-        elif acct.ceiling_room(now) < req.units:
+        elif acct.ceiling_room(min(now, self.retired_at)) < req.units:
             self.refuse(now, job, (req.units - acct.cap) * acct.spread / plan.ceiling_rate)
         elif plan.rate:
             self.want_units(now, job)
@@ -684,7 +687,7 @@
 
     def enqueue(self, now: float, job: Job) -> None:
         acct, units = job.acct, job.req.units
-        if acct.ceiling_room(now) < units:
+        if acct.ceiling_room(min(now, self.retired_at)) < units:
             self.refuse(now, job, 0.0)
             return
         acct.cap -= units  # spent before sending
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -1,19 +1,22 @@
-"""Hosts, a counter and discovery that do as a test tells them, and a real gateway among them, on loopback."""
+"""A real gateway among stand-ins on loopback."""
 
 import asyncio
 import functools
 import json
 
-import hiredis
 import uvloop
-from aiohttp import web
 
 from calicomast.daemon.config import read_config
 from calicomast.daemon.node import GatewayNode
+from calicomast.standins.counter import StandInCounter as StubCounter
+from calicomast.standins.discovery import StandInDiscovery as StubDiscovery
+from calicomast.standins.hosts import VALUE
+from calicomast.standins.hosts import StandInHost as StubHost
+
+__all__ = ["VALUE", "StubCounter", "StubDiscovery", "StubHost"]
 
 PATIENCE = 20  # s for a test as a whole: far over what any needs
 TERMS = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
-VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 SERVED = b"$5\r\nvalue\r\n"
 
 SETTINGS = {
@@ -71,126 +74,6 @@
     return line
 
 
-class Served:
-    """A listener on a free port of 127.0.0.1."""
-
-    def __init__(self):
-        self.writers = []
-
-    async def __aenter__(self):
-        self.server = await asyncio.start_server(self.joined, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def joined(self, reader, writer):
-        self.writers.append(writer)
-        try:
-            await self.serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-    async def __aexit__(self, *_):
-        self.server.close()
-        for writer in self.writers:
-            writer.close()
-
-
-class StubHost(Served):
-    """Answers each command with `answer` or what that returns; None: it keeps silent; b"": it breaks off."""
-
-    def __init__(self, answer=VALUE):
-        super().__init__()
-        self.answer, self.commands, self.arrived = answer, [], asyncio.Queue()
-        self.open = 0
-
-    async def serve(self, reader, writer):
-        parser = hiredis.Reader(notEnoughData=...)
-        self.open += 1
-        try:
-            while data := await reader.read(65536):
-                parser.feed(data)
-                while (got := parser.gets()) is not ...:
-                    self.commands.append(got)
-                    self.arrived.put_nowait(got)
-                    answer = self.answer() if callable(self.answer) else self.answer
-                    if answer == b"":
-                        return
-                    if answer is not None:
-                        writer.write(answer)
-        finally:
-            self.open -= 1
-            self.arrived.put_nowait(None)
-
-
-class StubCounter(Served):
-    """Keeps totals; `silent` leaves calls unanswered until `answer_all`."""
-
-    def __init__(self):
-        super().__init__()
-        self.calls, self.totals, self.silent, self.held = [], {}, False, []
-        self.arrived = asyncio.Queue()
-
-    async def serve(self, reader, writer):
-        while line := await reader.readline():
-            words = line.split()
-            if words[0] == b"ping":
-                writer.write(b"pong\r\n")
-                continue
-            self.calls.append(words)
-            self.totals[words[1]] = self.totals.get(words[1], 0) + float(words[2])
-            answer = b"ok %.7g\r\n" % self.totals[words[1]]
-            self.arrived.put_nowait(words)
-            if self.silent:
-                self.held.append((writer, answer))
-            else:
-                writer.write(answer)
-
-    def answer_all(self):
-        for writer, answer in self.held:
-            writer.write(answer)
-        self.held = []
-
-
-class StubDiscovery:
-    """Serves `raw` where it is set, else the list; `changes` ends a watch; `silent`: it never answers."""
-
-    def __init__(self):
-        self.servers, self.version, self.raw, self.silent = [], 1, None, False
-        self.calls, self.changes = asyncio.Queue(), asyncio.Queue()
-
-    async def answer(self, request):
-        self.calls.put_nowait(dict(request.query))
-        if self.silent:
-            await asyncio.Event().wait()
-        if self.raw is not None:
-            raw, self.raw = self.raw, None
-            return web.Response(text=raw)
-        if "index" in request.query:
-            try:
-                async with asyncio.timeout(int(request.query["wait"]) / 1000):
-                    changed = await self.changes.get()
-            except TimeoutError:
-                changed = []
-            self.version += bool(changed)
-            return web.json_response({"version": self.version, "full": False, "servers": changed})
-        return web.json_response({"version": self.version, "full": True, "servers": self.servers})
-
-    async def __aenter__(self):
-        app = web.Application()
-        app.router.add_get("/v1/endpoints", self.answer)
-        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = self.runner.addresses[0][1]
-        return self
-
-    async def __aexit__(self, *_):
-        await self.runner.cleanup()
-
-
 def entry(host, name="h1", state="up", port=None):
     return {"id": name, "addr": f"127.0.0.1:{port or host.port}", "zone": "a", "kind": "k", "cell": 0,
             "state": state, "weight": 1.0, "started_ms": 0}
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -17,7 +17,7 @@
         for n in range(4):
             await node.ask(command(b"a%d" % n))
         await node.discovery.calls.get()
-        node.discovery.changes.put_nowait([entry(one, "h1", "draining")])
+        node.discovery.change([entry(one, "h1", "draining")])
         while (await node.discovery.calls.get()).get("index") != "2":
             pass  # the watch that follows the change: it has been told
         before = len(one.commands)
@@ -31,7 +31,7 @@
     async with StubHost() as old, StubHost() as new, Node(old, path=tmp_path) as node:
         assert await node.ask(command(b"a")) == SERVED
         await node.discovery.calls.get()
-        node.discovery.changes.put_nowait([entry(new, "h1")])
+        node.discovery.change([entry(new, "h1")])
         while (await node.discovery.calls.get()).get("index") != "2":
             pass
         assert await node.ask(command(b"b")) == SERVED
@@ -46,7 +46,7 @@
         await node.discovery.calls.get()
         await node.discovery.calls.get()
         node.discovery.raw = raw
-        node.discovery.changes.put_nowait([])
+        node.discovery.change([])
         assert await node.ask(command()) == SERVED
         while "index" in await node.discovery.calls.get():
             pass  # it asks for the whole list again
@@ -57,7 +57,7 @@
 async def test_an_odd_entry_does_not_hide_the_drains_beside_it(tmp_path):
     async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
         await node.discovery.calls.get()
-        node.discovery.changes.put_nowait([
+        node.discovery.change([
             {"id": "h9"}, None, entry(two, "h8") | {"weight": "x"}, entry(one, "h1", "draining"),
             entry(two, "h7") | {"addr": "nowhere"}, entry(two, "h6", "odd")])
         while (await node.discovery.calls.get()).get("index") != "2":
@@ -72,7 +72,7 @@
             pass
         gone = entry(one, "h1", "removed")
         node.discovery.raw = json.dumps({"version": 0, "full": False, "servers": [gone]})
-        node.discovery.changes.put_nowait([])
+        node.discovery.change([])
         while "index" in await node.discovery.calls.get():
             pass  # it asks for the whole list again
         assert await node.ask(command()) == SERVED
