--- a/calicomast/checked.py
+++ b/calicomast/checked.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 import difflib
 import os
 import stat
@@ -77,41 +78,75 @@
         raise faulty("is nested too deep", "write it flat") from err
 
 
+Path = tuple[str | int, ...]
+
+IN_WORDS = {"`float`": "a number", "`int`": "a whole number", "`str`": "text", "`bool`": "true or false",
+            "`array`": "a list", "`object`": "a table"}
+
+
+def written(path: Path) -> str:
+    """As people write it: `listeners[1].address`."""
+    text = ""
+    for step in path:
+        text += f"[{step}]" if isinstance(step, int) else f".{step}" if text else step
+    return text
+
+
 class Reader:
     """Walks a file's tree along a struct's fields and gathers what does not fit."""
 
     def __init__(self, file: str) -> None:
         self.file = file
         self.faults: list[Fault] = []
+        self.paths: list[Path] = []  # of the keys at fault
+        self.odd: list[Path] = []  # of those that are at fault by themselves
+
+    def fault(self, path: Path, value: object, reason: str, remedy: str) -> None:
+        self.paths.append(path)
+        text = "" if value is None else shown(value)
+        self.faults.append(Fault(self.file, written(path), text, reason, remedy))
+
+    def contradiction(self, path: Path, value: object, reason: str, remedy: str) -> None:
+        """What no single key shows; left out where the table has a fault already, which may be its cause."""
+        if not any(bad == path or (bad[:-1] == path[:-1] != ()) for bad in self.odd):
+            self.fault(path, value, reason, remedy)
+
+    def read(self, tree: dict[str, Any], kind: type[Made]) -> Made | None:
+        """The struct, without what is at fault, which has its default; None if it cannot be made without."""
+        self.struct(tree, kind, ())
+        self.odd = list(self.paths)
+        if self.faults:
+            tree = copy.deepcopy(tree)
+            for path in self.paths:
+                self.drop(tree, path)
+        try:
+            return msgspec.convert(tree, kind)
+        except msgspec.ValidationError:
+            return None
 
-    def fault(self, key: str, value: object, reason: str, remedy: str) -> None:
-        self.faults.append(Fault(self.file, key, "" if value is None else shown(value), reason, remedy))
-
-    def read(self, tree: object, kind: type[Made]) -> Made | None:
-        """The struct; None if anything is at fault."""
-        self.struct(tree, kind, "")
-        return None if self.faults else msgspec.convert(tree, kind)
+    @staticmethod
+    def drop(tree: Any, path: Path) -> None:
+        for step in path[:-1]:
+            tree = tree[step]
+        if isinstance(tree, dict):
+            tree.pop(path[-1], None)
 
-    def struct(self, tree: object, kind: type[msgspec.Struct], path: str) -> None:
+    def struct(self, tree: object, kind: type[msgspec.Struct], path: Path) -> None:
         if not isinstance(tree, dict):
-            self.fault(path, tree, "is no table", f"write [{path}] and its keys under it")
+            self.fault(path, tree, "is no table", f"write [{written(path)}] and its keys under it")
             return
         known = {field.name: field for field in msgspec.structs.fields(kind)}
         for name in tree.keys() - known.keys():
             near = difflib.get_close_matches(str(name), known, 1, 0.6)
-            self.fault(self.at(path, name), tree[name], "unknown key",
+            self.fault((*path, name), tree[name], "unknown key",
                        f"did you mean `{near[0]}`?" if near else f"known here: {', '.join(known)}")
         for name, field in known.items():
             if name in tree:
-                self.value(tree[name], field.type, self.at(path, name), field)
+                self.value(tree[name], field.type, (*path, name), field)
             elif field.required:
-                self.fault(self.at(path, name), None, "is missing", f"add `{name} = ...`")
-
-    @staticmethod
-    def at(path: str, name: object) -> str:
-        return f"{path}.{name}" if path else str(name)
+                self.fault((*path, name), None, "is missing", f"add `{name} = ...`")
 
-    def value(self, value: object, kind: Any, path: str, field: Any) -> None:
+    def value(self, value: object, kind: Any, path: Path, field: Any) -> None:
         if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
             self.struct(value, kind, path)
             return
@@ -123,20 +158,22 @@
             msgspec.convert(value, kind)
         except msgspec.ValidationError as err:
             reason = str(err).split(" - at ")[0]
+            for name, word in IN_WORDS.items():
+                reason = reason.replace(name, word)
             default = None if field.default is msgspec.NODEFAULT else field.default
             remedy = "mend the value" if default is None else f"its default is {shown(default)}"
             self.fault(path, value, reason[0].lower() + reason[1:], remedy)
 
-    def many(self, value: object, origin: Any, inner: type[msgspec.Struct], path: str) -> None:
+    def many(self, value: object, origin: Any, inner: type[msgspec.Struct], path: Path) -> None:
         if origin is list:
             if not isinstance(value, list):
-                self.fault(path, value, "is no list of tables", f"write [[{path}]] over each")
+                self.fault(path, value, "is no list of tables", f"write [[{written(path)}]] over each")
                 return
             for number, item in enumerate(value):
-                self.struct(item, inner, f"{path}[{number}]")
+                self.struct(item, inner, (*path, number))
         else:
             if not isinstance(value, dict):
-                self.fault(path, value, "is no table of tables", f"write [{path}.NAME] over each")
+                self.fault(path, value, "is no table of tables", f"write [{written(path)}.NAME] over each")
                 return
             for name, item in value.items():
-                self.struct(item, inner, f"{path}.{name}")
+                self.struct(item, inner, (*path, name))
--- /dev/null
+++ b/calicomast/cli/check.py
@@ -0,0 +1,24 @@
+"""`calicomast check FILE`."""
+
+from __future__ import annotations
+
+import sys
+
+from calicomast.checked import Faulty
+from calicomast.daemon.config import ConfigError
+from calicomast.daemon.serve import OK, UNUSABLE, read
+from calicomast.net.address import write_address
+
+
+def check(path: str) -> int:
+    try:
+        _, config = read(path)
+    except (Faulty, ConfigError) as err:
+        print(err, file=sys.stderr)
+        return UNUSABLE
+    settings = config.settings
+    listeners = ", ".join(write_address(address) for address in (config.listen, *config.more))
+    hosts = f"{len(config.known.hosts.hosts)} hosts" if config.hosts_file else "hosts by discovery"
+    print(f"{path}: good; gateway {settings.index} of {settings.gateways} at {listeners}, "
+          f"classes {', '.join(settings.classes)}, plans {', '.join(settings.plans)}, {hosts}")
+    return OK
--- /dev/null
+++ b/calicomast/cli/main.py
@@ -0,0 +1,86 @@
+"""`python -m calicomast`, or `calicomast`: parses, calls, prints."""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import sys
+from collections.abc import Sequence
+
+from calicomast import __version__
+
+NEEDS = {"msgspec": "daemon", "rich": "tools"}  # libraries that only some installations have, and their extra
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="calicomast", description="An api gateway whose quotas hold over all gateways by leases on a "
+                                       "counter.",
+        epilog="Exit codes: 0 done, 1 failed, 2 settings or arguments that cannot be used, 75 try again.")
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    one = commands.add_parser(
+        "serve", help="run one gateway until SIGTERM",
+        description="Runs one gateway. SIGTERM or SIGINT: it finishes what it has taken and ends. SIGHUP: it "
+                    "reads "
+                    "the file again and takes it up whole or not at all. With RELAY_CONFIG in the "
+                    "environment the "
+                    "file only adds what the platform does not tell.")
+    one.add_argument("file", metavar="FILE", help="settings, as deploy/gateway.toml")
+    one.add_argument("--take-over", action="store_true",
+                     help="take the listening sockets from the gateway that runs with this state folder, "
+                          "which then "
+                          "finishes what it has taken and ends; no connection is refused meanwhile")
+
+    one = commands.add_parser(
+        "check", help="look through a settings file", description="Lists all that is wrong in a settings "
+                                                                  "file, each "
+        "with file, key, value, reason and remedy. Exit code 2 if anything is.")
+    one.add_argument("file", metavar="FILE")
+
+    one = commands.add_parser(
+        "demo", help="a fleet of stand-ins, three gateways and some trouble, on loopback",
+        description="Starts three gateways, nine hosts in three zones, a counter and discovery on loopback, "
+                    "sends "
+                    "customers' traffic under, at and over their quotas, and lets a host fall silent, one "
+                    "drain and a "
+                    "gateway die and come back. Then it tells what was served, and whether the five rules "
+                    "were kept. "
+                    "Exit code 1 if one broke.")
+    one.add_argument("--seconds", type=float, default=20.0, metavar="S", help="how long (default 20)")
+    one.add_argument("--seed", type=int, default=1, metavar="N", help="of the traffic (default 1)")
+    one.add_argument("--keep", action="store_true",
+                     help="leave it up afterwards, to try by hand, until Ctrl-C")
+
+    commands.add_parser("version", help="print the version")
+    return top
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    told = parser().parse_args(arguments)
+    try:
+        return run(told)
+    except ModuleNotFoundError as err:
+        extra = NEEDS.get(err.name or "")
+        if extra is None:
+            raise
+        print(f"calicomast: {told.command} needs {err.name}: pip install 'calicomast[{extra}]'",
+              file=sys.stderr)
+        return 1
+
+
+def run(told: argparse.Namespace) -> int:
+    # Each command imports what it needs and no more: a start loads none of the tools.
+    if told.command == "serve":
+        from calicomast.daemon.serve import serve
+
+        return serve(told.file, told.take_over)
+    if told.command == "check":
+        from calicomast.cli.check import check
+
+        return check(told.file)
+    if told.command == "demo":
+        demo = importlib.import_module("calicomast.tools.demo")
+        return int(demo.main(told.seconds, told.seed, told.keep))
+    print(f"calicomast {__version__}")
+    return 0
--- a/calicomast/counting/client.py
+++ b/calicomast/counting/client.py
@@ -164,6 +164,7 @@
         self.next: dict[int, Line] = {}  # by their place: lines to a new address until they are up
         self.old: set[Line] = set()  # lines to an old address until their last answer
         self.task: asyncio.Task[None] | None = None
+        self.heard = asyncio.Event()  # some line has come up
 
     def start(self) -> None:
         self.lines = [self.line() for _ in range(LINES)]
@@ -179,7 +180,17 @@
             line.close()
         self.next = {place: self.line() for place in range(LINES)}
 
+    async def some_line(self, seconds: float) -> bool:
+        """Waits until any line has come up, for `seconds` at most."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.heard.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def came_up(self, line: Line) -> None:
+        self.heard.set()
         for place in [place for place, new in self.next.items() if new is line]:
             replaced, self.lines[place] = self.lines[place], self.next.pop(place)
             self.old.add(replaced)
--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -58,6 +58,7 @@
         self.core = Core(settings, self.module(), self.hosts, self.counter, self.loop, config.max_open,
                          self.most_held)
         self.listing = config.known  # the whole list as it is now
+        self.known = asyncio.Event()  # there are hosts
         self.fronts = [self.front(address) for address in (config.listen, *config.more)]
         self.core.membership = self.discovery = self.source(config, config.known.hosts.version)
         self.endings: set[asyncio.Task[None]] = set()  # what a reload replaced, until it has ended
@@ -85,6 +86,8 @@
     def listed(self, listing: Listing) -> None:
         self.listing = merged(self.listing, listing)
         self.core.listed(listing.hosts, listing.addresses)
+        if self.core.ready:
+            self.known.set()
 
     def prepare(self) -> None:
         """All but the listeners: hosts, counter, membership. Before the first client the module knows its
--- a/calicomast/daemon/platform.py
+++ b/calicomast/daemon/platform.py
@@ -1,4 +1,4 @@
-"""One real api gateway: `python -m calicomast.net`, with RELAY_CONFIG naming its configuration."""
+"""One gateway as the platform runs it: `python -m calicomast.net`, RELAY_CONFIG names its configuration."""
 
 from __future__ import annotations
 
@@ -11,27 +11,9 @@
 import uvloop
 
 from calicomast.daemon.config import Config, ConfigError, read_config
+from calicomast.daemon.logs import start_log
 from calicomast.daemon.node import GatewayNode
 
-MOST_LINES = 5  # of the log in a second
-
-
-class Seldom(logging.Filter):
-    """A few lines a second: CPU is rationed, and trouble that repeats must not take it for logging."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.second, self.left, self.dropped = 0, 0, 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if int(record.created) != self.second:
-            if self.dropped:
-                record.msg = f"({self.dropped} lines left out) {record.msg}"
-            self.second, self.left, self.dropped = int(record.created), MOST_LINES, 0
-        self.left -= 1
-        self.dropped += self.left < 0
-        return self.left >= 0
-
 
 async def serve(config: Config) -> None:
     told = asyncio.Event()
@@ -56,12 +38,10 @@
 
 
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
-    logging.getLogger().handlers[0].addFilter(Seldom())
+    start_log()
     try:
         uvloop.run(serve(read_config()))
     except (ConfigError, OSError) as err:
         print(f"calicomast: {err}", file=sys.stderr)
         return 2
     return 0
-
--- /dev/null
+++ b/calicomast/daemon/serve.py
@@ -0,0 +1,303 @@
+"""`calicomast serve`: a gateway from our own settings file, its start, reloads, hand-over and end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import socket
+import sys
+from dataclasses import replace
+
+import msgspec
+import uvloop
+
+from calicomast.checked import Faulty
+from calicomast.daemon.config import Config, ConfigError, read_config
+from calicomast.daemon.handover import Busy, HandOverFailed, Heir, Keeper
+from calicomast.daemon.lock import Lock, Locked
+from calicomast.daemon.logs import Seldom, start_log
+from calicomast.daemon.node import GatewayNode, Source
+from calicomast.daemon.notify import Notifier
+from calicomast.daemon.settings import LIVE, Settings, changed, read_settings, to_config
+from calicomast.daemon.sockets import bind, named, passed
+from calicomast.fronts.resp.front import RespFront
+from calicomast.membership.listing import read_list, write_list
+from calicomast.net.address import Address, read_address, write_address
+
+OK, FAILED, UNUSABLE, TRY_AGAIN = 0, 1, 2, 75  # exit codes; the last as in sysexits.h
+# s that a successor waits for a line to the counter; a counter that is away stops no hand-over
+COUNTER_WAIT = 1.0
+
+log = logging.getLogger(__name__)
+
+
+def read(path: str, again: bool = False) -> tuple[Settings, Config]:
+    """The settings file, and beside it the platform's configuration where RELAY_CONFIG names one. Raises
+    Faulty or ConfigError."""
+    if not os.environ.get("RELAY_CONFIG"):
+        settings = read_settings(path)
+        return settings, to_config(path, settings)
+    settings = read_settings(path, beside=True)
+    more = tuple(read_address(listener.address) for listener in settings.listeners)
+    return settings, replace(read_config(again=again), more=more, linger=settings.daemon.linger,
+                             finish=settings.daemon.finish)
+
+
+def in_force(old: Settings, new: Settings) -> Settings:
+    """What holds after a reload: of the new settings those that a reload takes up, else the old."""
+    tree, told = msgspec.to_builtins(old), msgspec.to_builtins(new)
+    for key in LIVE:
+        part, _, name = key.partition(".")
+        if name:
+            tree[part][name] = told[part][name]
+        else:
+            tree[part] = told[part]
+    return msgspec.convert(tree, Settings)
+
+
+class Daemon:
+    def __init__(self, path: str, settings: Settings, config: Config, seldom: Seldom | None = None) -> None:
+        self.path, self.settings, self.config, self.seldom = path, settings, config, seldom
+        self.loop = asyncio.get_running_loop()
+        self.told = asyncio.Event()  # to stop
+        self.notifier = Notifier()
+        self.sockets: dict[Address, socket.socket] = {}  # the listening ones, kept open for a hand-over
+        self.lock: Lock | None = None
+        self.keeper: Keeper | None = None
+        self.heir: Heir | None = None
+        self.node: GatewayNode
+        self.reloading: asyncio.Task[None] | None = None
+        self.again = False  # told to reload while a reload was under way
+        self.handed_over = False
+
+    # Start
+
+    async def run(self, take_over: bool = False) -> int:
+        """Serves until it is told to stop. Raises OSError, Locked or HandOverFailed if it cannot start."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.told.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.hup)
+        try:
+            await self.start(take_over)
+            if self.told.is_set() and self.keeper is None:
+                return OK  # told to stop before it served
+            await self.told.wait()
+            await self.stop()
+        finally:
+            self.close()
+        return OK
+
+    async def start(self, take_over: bool) -> None:
+        state, given = self.settings.daemon.state, passed()
+        wanted = (self.config.listen, *self.config.more)
+        if take_over:
+            given += await self.inherit(state)
+        elif state:
+            self.lock = Lock(state)
+        self.sockets = named(given, wanted)
+        for address in wanted:
+            if address not in self.sockets:
+                self.sockets[address] = bind(address)
+        self.node = GatewayNode(self.config)
+        self.node.prepare()
+        if not await self.able(self.settings.daemon.handover_wait if take_over else None):
+            return
+        if self.heir is not None:
+            known = await self.heir.ready()
+            self.node.begin(read_list(known, "cached"))
+        await self.node.listen(self.sockets)
+        if self.heir is not None:
+            try:
+                await self.heir.serving()
+            except HandOverFailed:  # the predecessor accepts again: two of a name must not
+                await self.node.stop(0.0)
+                raise
+        if self.lock is not None:
+            self.lock.sign()
+            self.keeper = Keeper(os.path.join(state, "handover"), self.offer, self.node.pause, self.resume,
+                                 self.succeeded, self.settings.daemon.handover_wait)
+            self.keeper.open()
+        gc.freeze()  # what the start made stays for good: no collection need look at it again
+        for front in self.node.fronts:
+            log.info("%s listens on %s", self.config.name, write_address((front.address[0], front.port)))
+        self.notifier.ready(f"serving as {self.config.name}", main=take_over)
+
+    async def inherit(self, state: str) -> list[socket.socket]:
+        if not state:
+            raise HandOverFailed("daemon.state names no folder, so there is nobody to take over from")
+        self.heir = Heir(os.path.join(state, "handover"))
+        listeners, descriptors, known = await self.heir.take()
+        sockets = [socket.socket(fileno=number) for number in descriptors[:-1]]
+        for sock in sockets:
+            sock.setblocking(False)
+        self.lock = Lock(state, descriptors[-1])
+        if known:
+            self.config = replace(self.config, known=read_list(known, "cached"))
+        wanted = {write_address(address) for address in (self.config.listen, *self.config.more)}
+        kept = []
+        for name, sock in zip(listeners, sockets, strict=True):
+            if name in wanted:
+                kept.append(sock)
+            else:  # a listener that the new settings have no more
+                sock.close()
+        return kept
+
+    async def able(self, seconds: float | None) -> bool:
+        """Until hosts are known, and a line to the counter is up or that has had its time. False if it was
+        told to stop meanwhile. Raises HandOverFailed after `seconds`."""
+        if not self.node.core.ready:
+            log.info("waiting for a list of hosts")
+        told = self.loop.create_task(self.told.wait())
+        known = self.loop.create_task(self.node.known.wait())
+        done, _ = await asyncio.wait((told, known), timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+        told.cancel()
+        known.cancel()
+        if not done:
+            raise HandOverFailed(f"no list of hosts within {seconds:.0f} s")
+        if self.heir is not None and self.node.counter is not None:
+            await self.node.counter.some_line(COUNTER_WAIT)
+        return not self.told.is_set()
+
+    # Hand-over, as the predecessor
+
+    def offer(self) -> tuple[list[str], list[int], dict[str, object]]:
+        assert self.lock is not None
+        names = [write_address(address) for address in self.sockets]
+        descriptors = [sock.fileno() for sock in self.sockets.values()] + [self.lock.descriptor]
+        return names, descriptors, write_list(self.node.listing)
+
+    async def resume(self) -> None:
+        await self.node.resume(self.sockets)
+
+    def succeeded(self) -> None:
+        self.handed_over = True
+        self.told.set()
+
+    # Reload
+
+    def hup(self) -> None:
+        if self.told.is_set() or (self.keeper is not None and self.keeper.busy):
+            log.warning("no reload during a stop or a hand-over")
+        elif self.reloading is not None:
+            self.again = True
+        elif hasattr(self, "node"):
+            self.reloading = self.loop.create_task(self.reload())
+
+    async def reload(self) -> None:
+        try:
+            while True:
+                self.again = False
+                self.notifier.reloading()
+                status = await self.reload_once()
+                log.info("reload: %s", status)
+                self.notifier.ready(status)
+                if not self.again:
+                    return
+        finally:
+            self.reloading = None
+
+    async def reload_once(self) -> str:
+        """Builds the new beside the old, then swaps it in whole; or leaves the old in force. Says which."""
+        try:
+            settings, config = await asyncio.to_thread(read, self.path, True)
+        except (Faulty, ConfigError) as err:
+            for line in str(err).splitlines():
+                log.error("%s", line)
+            return "refused, the old settings stay"
+        live, restart = changed(self.settings, settings)
+        if not os.environ.get("RELAY_CONFIG"):
+            config = replace(self.config, more=config.more, listen=config.listen,
+                             hosts_file=config.hosts_file,
+                             discovery=config.discovery,
+                             counter=config.counter if self.config.counter else None,
+                             max_open=config.max_open, linger=config.linger, finish=config.finish)
+        addresses = [config.listen, *config.more]
+        built: dict[Address, socket.socket] = {}
+        fronts: list[RespFront] = []
+        try:
+            for address in addresses:
+                if address not in self.sockets:
+                    built[address] = bind(address)
+            for address, sock in built.items():
+                front = self.node.front(address)
+                fronts.append(front)
+                await front.listen(sock.dup())
+            source = self.source(config)
+        except BaseException as err:  # also a stop in the middle of it: nothing of the new is left
+            for front in fronts:
+                front.finish()
+                front.close()
+            for sock in built.values():
+                sock.close()
+            if not isinstance(err, OSError):
+                raise
+            log.error("%s: listeners: %s; choose another address", self.path, err.strerror)
+            return "refused, the old settings stay"
+        # From here on nothing waits and nothing can fail: the swap is whole.
+        gone = self.sockets.keys() - set(addresses)
+        if os.environ.get("RELAY_CONFIG"):
+            self.node.reload(config)
+        self.node.swap(config, fronts, gone, source)
+        for address in gone:
+            self.sockets.pop(address).close()
+        self.sockets.update(built)
+        self.config, self.settings = config, in_force(self.settings, settings)
+        if self.seldom is not None:
+            self.seldom.most = settings.daemon.log_lines
+        if self.keeper is not None:
+            self.keeper.wait = settings.daemon.handover_wait
+        parts = [f"took effect: {', '.join(live)}"] if live else []
+        parts += [f"needs a restart or a hand-over: {', '.join(restart)}"] if restart else []
+        return "; ".join(parts) or "nothing changed"
+
+    def source(self, config: Config) -> Source | None:
+        """Where the list comes from now on, if from elsewhere."""
+        same = (config.hosts_file, config.discovery) == (self.config.hosts_file, self.config.discovery)
+        beside = bool(os.environ.get("RELAY_CONFIG"))
+        return None if same or beside else self.node.source(config, self.node.discovery.version)
+
+    # The end
+
+    async def stop(self) -> None:
+        self.notifier.stopping() if not self.handed_over else None
+        if self.reloading is not None:
+            self.reloading.cancel()
+            await asyncio.gather(self.reloading, return_exceptions=True)
+        if not self.handed_over:  # else another accepts what still comes
+            await self.node.stop()
+        else:
+            await self.node.stop(0.0)
+
+    def close(self) -> None:
+        if self.keeper is not None:
+            self.keeper.close()
+        for sock in self.sockets.values():
+            sock.close()
+        if self.lock is not None:
+            self.lock.close()
+        self.notifier.close()
+
+
+def serve(path: str, take_over: bool = False) -> int:
+    """Runs until SIGTERM. Returns the exit code."""
+
+    async def run(settings: Settings, config: Config) -> int:
+        return await Daemon(path, settings, config, seldom).run(take_over)
+
+    try:
+        settings, config = read(path)
+        seldom = start_log(settings.daemon.log_lines)
+        return int(uvloop.run(run(settings, config)))
+    except (Faulty, ConfigError) as err:
+        for line in str(err).splitlines():
+            print(f"calicomast: {line}", file=sys.stderr)
+        return UNUSABLE
+    except Busy as err:
+        print(f"calicomast: {err}; try again", file=sys.stderr)
+        return TRY_AGAIN
+    except (OSError, Locked, HandOverFailed, ValueError) as err:
+        print(f"calicomast: {err}", file=sys.stderr)
+        return FAILED
--- a/calicomast/daemon/settings.py
+++ b/calicomast/daemon/settings.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from calicomast import interface as api
-from calicomast.checked import Faulty, Reader, read_toml
+from calicomast.checked import Faulty, Path, Reader, read_toml
 from calicomast.daemon.config import Config
 from calicomast.membership.file import read_hosts
 from calicomast.membership.listing import Listing
@@ -113,7 +113,7 @@
 
 class Settings(Part, frozen=True, kw_only=True):
     gateway: GatewayPart = GatewayPart()
-    listeners: list[ListenerPart] = [ListenerPart()]
+    listeners: list[ListenerPart] = msgspec.field(default_factory=lambda: [ListenerPart()])
     limits: LimitsPart = LimitsPart()
     rules: RulesPart = RulesPart()
     hosts: HostsPart = HostsPart()
@@ -134,10 +134,10 @@
     tree = read_toml(path)
     reader = Reader(path)
     if beside:
-        for name in [name for name in tree if name in msgspec.structs.asdict(Settings())
-                     and name not in BESIDE]:
-            reader.fault(name, None, "is told by RELAY_CONFIG",
+        for name in [name for name in tree if name in Settings.__struct_fields__ and name not in BESIDE]:
+            reader.fault((name,), None, "is told by RELAY_CONFIG",
                          f"beside it only {' and '.join(BESIDE)} go here")
+        tree.setdefault("listeners", [])
     settings = reader.read(tree, Settings)
     if settings is not None:
         check(reader, settings, beside)
@@ -150,79 +150,77 @@
     """What no single key shows."""
     addresses: dict[Address, str] = {}
     for number, listener in enumerate(told.listeners):
-        key = f"listeners[{number}].address"
-        address = check_address(reader, key, listener.address)
+        path = ("listeners", number, "address")
+        address = check_address(reader, path, listener.address)
         if address is not None and address[1] and address in addresses:
-            reader.fault(key, listener.address, f"is also that of {addresses[address]}",
-                         "give each its own port")
+            reader.contradiction(path, listener.address, f"is also that of {addresses[address]}",
+                                 "give each its own port")
         elif address is not None:
-            addresses[address] = key
+            addresses[address] = f"listeners[{number}]"
     if beside:
         return
-    if not told.listeners:
-        reader.fault("listeners", None, "none", "add one [[listeners]]")
-    if not told.classes:
-        reader.fault("classes", None, "none", "add [classes.NAME] with effect, aim and deadline")
-    if not told.plans:
-        reader.fault("plans", None, "none", "add [plans.NAME] with rate and burst")
+    for name, what in (("listeners", "one [[listeners]]"), ("plans", "[plans.NAME] with rate and burst"),
+                       ("classes", "[classes.NAME] with effect, aim and deadline")):
+        if not getattr(told, name):
+            reader.contradiction((name,), None, "none", f"add {what}")
     if told.gateway.index >= told.gateway.gateways:
-        reader.fault("gateway.index", told.gateway.index, f"of {told.gateway.gateways} gateways",
-                     "they are numbered from 0")
+        reader.contradiction(("gateway", "index"), told.gateway.index, f"of {told.gateway.gateways} gateways",
+                             "they are numbered from 0")
     if told.gateway.gateways > 1 and not told.counter.address:
-        reader.fault("counter.address", told.counter.address,
-                     "several gateways cannot hold a quota without a counter",
-                     "name the counter that they share")
+        reader.contradiction(("counter", "address"), told.counter.address, "several gateways cannot hold a "
+                                                                           "quota "
+                             "without a counter", "name the counter that they share")
     if told.counter.address:
-        check_address(reader, "counter.address", told.counter.address)
+        check_address(reader, ("counter", "address"), told.counter.address)
     if told.hosts.source == "discovery":
-        check_address(reader, "hosts.discovery", told.hosts.discovery)
+        check_address(reader, ("hosts", "discovery"), told.hosts.discovery)
     for name, cls in told.classes.items():
-        check_class(reader, f"classes.{name}", cls, told.daemon.finish)
+        check_class(reader, ("classes", name), cls, told.daemon.finish)
     for name, plan in told.plans.items():
-        check_plan(reader, f"plans.{name}", plan, told.limits.max_units)
+        check_plan(reader, ("plans", name), plan, told.limits.max_units)
 
 
-def check_address(reader: Reader, key: str, text: str) -> Address | None:
+def check_address(reader: Reader, path: Path, text: str) -> Address | None:
     try:
         return read_address(text)
     except ValueError:
-        reader.fault(key, text, "is no address", "write it as HOST:PORT, an IPv6 host in brackets")
+        reader.contradiction(path, text, "is no address", "write it as HOST:PORT, an IPv6 host in brackets")
         return None
 
 
-def check_class(reader: Reader, key: str, cls: ClassPart, finish: float) -> None:
+def check_class(reader: Reader, at: Path, cls: ClassPart, finish: float) -> None:
+    bad = reader.contradiction
     if cls.aim > cls.deadline:
-        reader.fault(f"{key}.aim", cls.aim, f"is after the deadline of {cls.deadline}", "aim at or before it")
-    if cls.effect == "keyed" and not cls.memory:
-        reader.fault(f"{key}.memory", cls.memory, "a keyed class whose repeats nobody drops",
-                     "say for how long hosts drop a repeat, or make it unsafe")
-    if cls.effect != "keyed" and cls.memory:
-        reader.fault(f"{key}.memory", cls.memory, f"a class that is {cls.effect} has no repeats to drop",
-                     "leave it out, or make it keyed")
-    if cls.effect != "keyed" and cls.scope != "all":
-        reader.fault(f"{key}.scope", cls.scope, f"a class that is {cls.effect} has no scope", "leave it out")
-    if cls.deadline > finish:
-        reader.fault(f"{key}.deadline", cls.deadline,
-                     f"is longer than daemon.finish = {finish}: a stop would fail "
-                     "what it has taken", "let daemon.finish be as long as the longest deadline")
-
-
-def check_plan(reader: Reader, key: str, plan: PlanPart, most_units: float) -> None:
+        bad((*at, "aim"), cls.aim, f"is after the deadline of {cls.deadline}", "aim at or before it")
+    elif cls.deadline > finish:
+        bad((*at, "deadline"), cls.deadline, f"is longer than daemon.finish = {finish}: a stop would fail "
+                                             f"what it "
+            "has taken", "let daemon.finish be as long as the longest deadline")
+    elif cls.effect == "keyed" and not cls.memory:
+        bad((*at, "memory"), cls.memory, "a keyed class whose repeats nobody drops",
+            "say for how long hosts drop a repeat, or make it unsafe")
+    elif cls.effect != "keyed" and cls.memory:
+        bad((*at, "memory"), cls.memory, f"a class that is {cls.effect} has no repeats to drop",
+            "leave it out, or make it keyed")
+    elif cls.effect != "keyed" and cls.scope != "all":
+        bad((*at, "scope"), cls.scope, f"a class that is {cls.effect} has no scope", "leave it out")
+
+
+def check_plan(reader: Reader, at: Path, plan: PlanPart, most_units: float) -> None:
+    bad = reader.contradiction
     if plan.rate and plan.burst < most_units:
-        reader.fault(f"{key}.burst", plan.burst, f"the largest request ({most_units} units) never fits",
-                     "a rate needs a burst of at least limits.max_units")
-    if plan.ceiling_rate and plan.ceiling_rate < plan.rate:
-        reader.fault(f"{key}.ceiling_rate", plan.ceiling_rate, f"lies under the quota's rate of {plan.rate}",
-                     "a ceiling lies at or over the quota")
-    if plan.ceiling_rate and plan.ceiling_burst < plan.burst:
-        reader.fault(f"{key}.ceiling_burst", plan.ceiling_burst,
-                     f"lies under the quota's burst of {plan.burst}",
-                     "a ceiling lies at or over the quota")
-    if plan.ceiling_burst and not plan.ceiling_rate:
-        reader.fault(f"{key}.ceiling_rate", plan.ceiling_rate, "a ceiling's burst without its rate",
-                     "add the rate")
-    if not (plan.rate or plan.open_limit):
-        reader.fault(key, None, "sets neither a rate nor a limit of open attempts", "add rate and burst")
+        bad((*at, "burst"), plan.burst, f"the largest request ({most_units} units) never fits",
+            "a rate needs a burst of at least limits.max_units")
+    elif plan.ceiling_rate and plan.ceiling_rate < plan.rate:
+        bad((*at, "ceiling_rate"), plan.ceiling_rate, f"lies under the quota's rate of {plan.rate}",
+            "a ceiling lies at or over the quota")
+    elif plan.ceiling_rate and plan.ceiling_burst < plan.burst:
+        bad((*at, "ceiling_burst"), plan.ceiling_burst, f"lies under the quota's burst of {plan.burst}",
+            "a ceiling lies at or over the quota")
+    elif plan.ceiling_burst and not plan.ceiling_rate:
+        bad((*at, "ceiling_rate"), plan.ceiling_rate, "a ceiling's burst without its rate", "add the rate")
+    elif not (plan.rate or plan.open_limit):
+        bad((*at, "rate"), plan.rate, "neither a rate nor a limit of open attempts", "add rate and burst")
 
 
 # To what the gateway is built from
@@ -263,8 +261,9 @@
         rules=api.Rules(0.0, rules.drain_grace, rules.cold_share, rules.cold_time, rules.fall_multiple,
                         rules.fall_time, 0.0),
         prices={"cross_zone": told.hosts.cross_zone}, counter=bool(told.counter.address),
-        counter_price=told.counter.price, counter_timeout=told.counter.timeout, meter_period=0.0, settles=False,
-        most_units=limits.max_units, discovery="push", reports=tuple(told.hosts.reports), weights="none")
+        counter_price=told.counter.price, counter_timeout=told.counter.timeout, meter_period=0.0,
+        settles=False, most_units=limits.max_units, discovery="push", reports=tuple(told.hosts.reports),
+        weights="none")
 
 
 # A reload
--- a/calicomast/membership/file.py
+++ b/calicomast/membership/file.py
@@ -46,19 +46,19 @@
     told = reader.read(read_toml(path), HostsFile)
     hosts, addresses = [], {}
     for number, host in enumerate(told.hosts if told else ()):
-        key = f"hosts[{number}]"
+        at = ("hosts", number)
         try:
             address = read_address(host.address)
         except ValueError:
-            reader.fault(f"{key}.address", host.address, "is no address", "write it as HOST:PORT")
+            reader.contradiction((*at, "address"), host.address, "is no address", "write it as HOST:PORT")
             continue
         if host.id in addresses:
-            reader.fault(f"{key}.id", host.id, "stands twice", "give each host an id of its own")
+            reader.contradiction((*at, "id"), host.id, "stands twice", "give each host an id of its own")
         addresses[host.id] = address
         hosts.append(api.Host(host.id, host.zone, host.cell, host.weight, host.kind, STATE[host.state],
                               host.started))
     if told is not None and not told.hosts:
-        reader.fault("hosts", None, "none", "add one [[hosts]] with id and address")
+        reader.contradiction(("hosts",), None, "none", "add one [[hosts]] with id and address")
     if reader.faults:
         raise Faulty(reader.faults)
     return Listing(api.HostList(mode, version, tuple(hosts)), addresses)
--- a/calicomast/membership/listing.py
+++ b/calicomast/membership/listing.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from calicomast import interface as api
-from calicomast.net.address import Address, read_address
+from calicomast.net.address import Address, read_address, write_address
 
 STATE = {"up": "up", "draining": "leaving", "removed": "down"}
 
@@ -52,3 +52,13 @@
     if entries and not hosts:
         raise ValueError("not a list of hosts: no entry can be read")
     return Listing(api.HostList(kind, version, tuple(hosts)), addresses)
+
+
+def write_list(listing: Listing) -> dict[str, Any]:
+    """A whole list in discovery's form."""
+    states = {state: name for name, state in STATE.items()}
+    servers = [{"id": h.id, "zone": h.zone, "kind": h.kind, "cell": h.cell, "state": states[h.state],
+                "weight": h.weight, "started_ms": h.started * 1000,
+                **({"addr": write_address(listing.addresses[h.id])} if h.id in listing.addresses else {})}
+               for h in listing.hosts.hosts]
+    return {"version": listing.hosts.version, "full": True, "servers": servers}
--- /dev/null
+++ b/tests/daemon/test_settings.py
@@ -0,0 +1,236 @@
+"""Our settings file: each fault is told with its key, value, reason and remedy, all of them at once."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from calicomast import __version__
+from calicomast import interface as api
+from calicomast.checked import MOST_BYTES, Faulty
+from calicomast.daemon.serve import in_force
+from calicomast.daemon.settings import (
+    LIVE,
+    Settings,
+    changed,
+    differences,
+    read_settings,
+    to_config,
+    to_module,
+)
+from calicomast.membership.file import read_hosts
+
+ROOT = Path(__file__).resolve().parents[2]
+GOOD = """
+[classes.read]
+effect = "safe"
+aim = 1.0
+deadline = 3.0
+[plans.p]
+rate = 2.0
+burst = 8.0
+"""
+PREFIX = {"limits": "[limits]\n", "rules": "[rules]\n"}
+
+
+def faults(tmp_path, text, **kw):
+    file = tmp_path / "gateway.toml"
+    file.write_bytes(text if isinstance(text, bytes) else text.encode())
+    with pytest.raises(Faulty) as caught:
+        read_settings(str(file), **kw)
+    assert all(fault.file == str(file) and fault.reason and fault.remedy for fault in caught.value.faults)
+    return {fault.key: fault for fault in caught.value.faults}
+
+
+def test_the_file_in_deploy_is_good_and_at_its_defaults():
+    told = msgspec.to_builtins(read_settings(str(ROOT / "deploy" / "gateway.toml")))
+    default = msgspec.to_builtins(Settings())
+    for part in default.keys() - {"classes", "plans"}:
+        assert told[part] == default[part], part
+    config = to_config(str(ROOT / "deploy" / "gateway.toml"),
+                       read_settings(str(ROOT / "deploy" / "gateway.toml")))
+    assert isinstance(config.settings, api.Settings) and len(config.known.hosts.hosts) == 1
+
+
+def test_every_key_stands_in_the_file_in_deploy():
+    text = (ROOT / "deploy" / "gateway.toml").read_text()
+    for part, keys in msgspec.to_builtins(Settings()).items():
+        for key in keys if isinstance(keys, dict) else ():
+            assert f"\n{key} = " in text.split(f"[{part}]")[1], f"{part}.{key}"
+
+
+@pytest.mark.parametrize("text, key, words", [
+    ("[plan.p]\nrate = 1.0", "plan", "did you mean `plans`"),
+    ("[plans.q]\nrte = 1.0\nburst = 3.0", "plans.q.rte", "did you mean `rate`"),
+    ("[daemon]\nxyz = 1", "daemon.xyz", "known here: state"),
+    ('[limits]\nmax_open = "many"', "limits.max_open", "a whole number, got text"),
+    ("[limits]\nmax_open = 0", "limits.max_open", ">= 1; its default is 20000"),
+    ("[rules]\ncold_share = 1.5", "rules.cold_share", "<= 1.0"),
+    ("[rules]\ndrain_grace = nan", "rules.drain_grace", "a number"),
+    ("listeners = 3", "listeners", "[[listeners]]"),
+    ("[[listeners]]\naddress = 'nowhere'", "listeners[0].address", "HOST:PORT"),
+    ("[[listeners]]\naddress = '127.0.0.1:1'\n[[listeners]]\naddress = '127.0.0.1:1'", "listeners[1].address",
+     "also that of listeners[0]"),
+    ("[[listeners]]\nprotocol = 'gopher'", "listeners[0].protocol", "gopher"),
+    ("[gateway]\nindex = 3\ngateways = 3\n[counter]\naddress = '127.0.0.1:1'", "gateway.index",
+     "numbered from 0"),
+    ("[gateway]\ngateways = 3", "counter.address", "without a counter"),
+    ("[counter]\naddress = 'nowhere'", "counter.address", "HOST:PORT"),
+    ("[hosts]\nsource = 'discovery'", "hosts.discovery", "HOST:PORT"),
+    ("[classes.c]\neffect = 'safe'\naim = 4.0\ndeadline = 3.0", "classes.c.aim", "after the deadline of 3.0"),
+    ("[classes.c]\neffect = 'sometimes'\naim = 1.0\ndeadline = 3.0", "classes.c.effect", "sometimes"),
+    ("[classes.c]\neffect = 'safe'\naim = 1.0", "classes.c.deadline", "missing"),
+    ("[classes.c]\neffect = 'keyed'\naim = 1.0\ndeadline = 3.0", "classes.c.memory", "nobody drops"),
+    ("[classes.c]\neffect = 'unsafe'\nmemory = 3.0\naim = 1.0\ndeadline = 3.0", "classes.c.memory",
+     "no repeats"),
+    ("[classes.c]\neffect = 'safe'\nscope = 'zone'\naim = 1.0\ndeadline = 3.0", "classes.c.scope",
+     "no scope"),
+    ("[classes.c]\neffect = 'safe'\naim = 1.0\ndeadline = 30.0", "classes.c.deadline",
+     "daemon.finish = 10.0"),
+    ("[plans.q]\nrate = 2.0\nburst = 8.0\nceiling_rate = 1.0\nceiling_burst = 9.0", "plans.q.ceiling_rate",
+     "under the quota's rate of 2.0"),
+    ("[plans.q]\nrate = 2.0\nburst = 8.0\nceiling_rate = 4.0\nceiling_burst = 7.0", "plans.q.ceiling_burst",
+     "under the quota's burst of 8.0"),
+    ("[plans.q]\nrate = 2.0", "plans.q.burst", "never fits"),
+    ("[plans.q]\nprice = 1.0", "plans.q.rate", "neither a rate nor"),
+])
+def test_a_fault_is_told_with_its_key(text, key, words, tmp_path):
+    found = faults(tmp_path, text + GOOD)
+    assert list(found) == [key] and words in str(found[key])
+
+
+def test_all_faults_are_told_at_once(tmp_path):
+    found = faults(tmp_path, """
+        [limits]
+        max_open = -1
+        [gateway]
+        index = 7
+        [plans.p]
+        rate = 2.0
+        burst = "much"
+        [plans.q]
+        rate = 4.0
+        burst = 4.0
+        ceiling_rate = 1.0
+        ceiling_burst = 4.0
+        [wrong]
+        """)
+    assert set(found) == {"limits.max_open", "gateway.index", "plans.p.burst", "plans.q.ceiling_rate",
+                          "wrong",
+                          "classes"}
+
+
+def test_what_is_no_settings_file(tmp_path):
+    for text, word in ((b"\xff\xfe", "UTF-8 (byte 0)"), (b"[limits]\nmax_op", "half written"),
+                       (b"x = [[" * 5000, "")):
+        (fault,) = faults(tmp_path, text).values()
+        assert fault.key == "" and word in str(fault)
+    with pytest.raises(Faulty, match="no regular file"):
+        read_settings(str(tmp_path))
+    with pytest.raises(Faulty, match="No such file"):
+        read_settings(str(tmp_path / "none.toml"))
+    os.mkfifo(tmp_path / "fifo")
+    with pytest.raises(Faulty, match="no regular file"):
+        read_settings(str(tmp_path / "fifo"))
+    big = tmp_path / "big.toml"
+    with open(big, "wb") as file:
+        file.truncate(60 * 1024 * 1024)
+    with pytest.raises(Faulty, match=f"{MOST_BYTES} at most"):
+        read_settings(str(big))
+
+
+def test_beside_the_platforms_configuration_only_what_it_does_not_tell(tmp_path):
+    found = faults(tmp_path, GOOD + "[daemon]\nlinger = 0.1\n[limits]\nmax_open = 3\n", beside=True)
+    assert set(found) == {"classes", "plans", "limits"} and "RELAY_CONFIG" in str(found["plans"])
+    (tmp_path / "gateway.toml").write_text("[daemon]\nlinger = 0.1\n")
+    assert read_settings(str(tmp_path / "gateway.toml"), beside=True).listeners == []
+
+
+TREES = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+                     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner,
+                                                                                 max_size=3),
+                     max_leaves=6)
+
+
+@seed(1)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.dictionaries(st.sampled_from([*Settings.__struct_fields__, "other"]),
+                       TREES | st.dictionaries(st.sampled_from(["rate", "index", "address", "aim", "x"]),
+                                               TREES)))
+def test_no_tree_gets_past_the_check_by_an_exception(tree):
+    from calicomast.checked import Reader
+    from calicomast.daemon.settings import check
+    reader = Reader("f")
+    told = reader.read(tree, Settings)
+    if told is not None:
+        check(reader, told, False)
+    if not reader.faults:
+        assert isinstance(to_module(told), api.Settings)
+
+
+def test_a_reload_tells_what_it_takes_up_and_what_it_does_not(tmp_path):
+    file = tmp_path / "gateway.toml"
+    file.write_text(GOOD)
+    old = read_settings(str(file))
+    file.write_text(GOOD.replace("rate = 2.0", "rate = 3.0") + "[limits]\nmax_open = 7\nmax_attempts = 2\n"
+                    "[[listeners]]\naddress = '127.0.0.1:7'\n[classes.more]\neffect='safe'\naim=1.0\ndeadline=1.0\n")
+    new = read_settings(str(file))
+    live, restart = changed(old, new)
+    assert live == ["limits.max_open", "listeners"]
+    assert restart == ["classes.more", "limits.max_attempts", "plans.p.rate"]
+    now = in_force(old, new)
+    assert now.limits.max_open == 7 and now.limits.max_attempts == 3 and now.plans["p"].rate == 2.0
+    assert changed(now, new) == ([], restart)  # never silently left
+
+
+def test_what_a_reload_takes_up_are_keys_that_exist():
+    tree = msgspec.to_builtins(Settings())
+    for key in LIVE:
+        part, _, name = key.partition(".")
+        assert part in tree and (not name or name in tree[part]), key
+    assert list(differences(tree, tree, "")) == []
+
+
+@pytest.mark.parametrize("text, word", [
+    ("", "add one [[hosts]]"), ("[[hosts]]\nid='a'\n", "address: is missing"), ("[[hosts]", "TOML"),
+    ("[[hosts]]\nid='a'\naddress='x'\n", "HOST:PORT"),
+    ("[[hosts]]\nid='a'\naddress='h:1'\n[[hosts]]\nid='a'\naddress='h:2'\n", "stands twice"),
+    ("[[hosts]]\nid='a'\naddress='h:1'\nstate='asleep'\n", "asleep"),
+])
+def test_a_bad_file_of_hosts(text, word, tmp_path):
+    (tmp_path / "hosts.toml").write_text(text)
+    with pytest.raises(Faulty) as caught:
+        read_hosts(str(tmp_path / "hosts.toml"))
+    assert word in str(caught.value)
+
+
+def test_check_and_version_on_the_command_line(tmp_path):
+    def run(*arguments):
+        return subprocess.run([sys.executable, "-B", "-m", "calicomast", *arguments], cwd=ROOT,
+                              capture_output=True,
+                              text=True, timeout=60)
+
+    assert run("version").stdout == f"calicomast {__version__}\n"
+    assert f'version = "{__version__}"' in (ROOT / "pyproject.toml").read_text()
+    good = run("check", "deploy/gateway.toml")
+    assert good.returncode == 0 and "1 hosts" in good.stdout
+    (tmp_path / "bad.toml").write_text("[daemon]\nlingr = 1\n")
+    bad = run("check", str(tmp_path / "bad.toml"))
+    assert bad.returncode == 2 and bad.stderr.count("\n") == 3 and "did you mean `linger`" in bad.stderr
+    served = run("serve", str(tmp_path / "bad.toml"))
+    assert served.returncode == 2 and "calicomast: " in served.stderr
+    assert run("nonsense").returncode == 2 and "usage" in run("--help").stdout
+
+
+def test_the_platforms_program_loads_none_of_it():
+    code = ("import sys, calicomast.daemon.platform; "
+            "print([m for m in sys.modules if m.split('.')[0] in ('msgspec', 'rich') or m.startswith("
+            "('calicomast.cli', 'calicomast.standins', 'calicomast.tools', 'calicomast.checked', "
+            "'calicomast.daemon.serve', 'calicomast.daemon.settings', 'calicomast.membership.file'))])")
+    ended = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert ended.stdout == "[]\n", ended.stderr
--- /dev/null
+++ b/tests/faults/test_handover.py
@@ -0,0 +1,201 @@
+"""Hand-over under load: whatever becomes of the successor, no request is lost and no connection refused."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+
+import pytest
+from netkit import SERVED, command, on_loop
+from rig import Site, free_port
+
+from calicomast.daemon.handover import Channel
+from calicomast.standins.clients import Client, Customer, Kind, Traffic
+from calicomast.standins.ledger import Kind as Class
+from calicomast.standins.ledger import Ledger, Terms, report
+
+TERMS = Terms({"read": Class("safe"), "note": Class("unsafe")})
+KINDS = [Kind("read", "safe", 0.5, 3.0), Kind("note", "unsafe", 0.5, 3.0)]
+
+
+class Load:
+    """Traffic at one gateway's address, without end until it is told; then the ledger's verdict."""
+
+    def __init__(self, site, ledger, rate=150.0):
+        self.ledger, self.client = ledger, Client(ledger, {"g": ("127.0.0.1", site.port)})
+        customers = [Customer(f"{n:016x}", "p", rate / 4, 0, 1) for n in range(4)]
+        self.traffic = Traffic(self.client, customers, KINDS)
+
+    async def __aenter__(self):
+        self.task = asyncio.ensure_future(self.go())
+        await self.served(20)
+        return self
+
+    async def go(self):
+        while True:
+            await self.traffic.run(5.0)
+
+    async def served(self, more):
+        """Until so many more have been served."""
+        until = len(self.traffic.latency) + more
+        while len(self.traffic.latency) < until:
+            await asyncio.sleep(0.01)
+
+    async def __aexit__(self, kind, *_):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        while self.traffic.tasks:
+            await asyncio.wait(list(self.traffic.tasks))
+        self.client.close()
+        if kind is None:
+            verdicts = self.ledger.judge()
+            assert all(v.kept for v in verdicts), report(verdicts)
+            assert self.client.refused == 0
+            assert self.ledger.outcomes().get(("p", "read", "served"), 0) > 0
+
+
+async def hand(site):
+    """A connection that says it is a successor: the first answers, and the channel to go on with."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    sock.connect(str(site.path / "state" / "handover"))
+    channel = Channel(sock)
+    await channel.say({"take": 1})
+    told, descriptors = await channel.hear_with_descriptors(5.0)
+    for number in descriptors:
+        os.close(number)
+    return told, channel
+
+
+@on_loop
+async def test_a_successor_takes_over_and_another_from_that_one(tmp_path):
+    ledger = Ledger(TERMS)
+    async with Site(tmp_path, ledger=ledger) as site:
+        first = await site.start()
+        async with Load(site, ledger) as load:
+            second = await site.start("--take-over")
+            assert await first.wait() == 0
+            await load.served(30)
+            third = await site.start("--take-over")
+            assert await second.wait() == 0
+            await load.served(30)
+            assert third.returncode is None
+
+
+@pytest.mark.parametrize("how", ["crashes at once", "is killed before it is ready", "says ready and dies",
+                                 "talks nonsense"])
+@on_loop
+async def test_a_successor_that_fails_leaves_the_old_one_serving(how, tmp_path):
+    ledger = Ledger(TERMS)
+    async with Site(tmp_path, ledger=ledger) as site:
+        first = await site.start()
+        async with Load(site, ledger) as load:
+            if how == "crashes at once":
+                site.write(rules="drain_grace = -1")
+                broken = await site.start("--take-over", ready=False)
+                assert await broken.wait() == 2
+            else:
+                told, channel = await hand(site)
+                assert told["listeners"] == [f"127.0.0.1:{site.port}"]
+                assert "known" in await channel.hear(5.0)
+                if how == "says ready and dies":
+                    await channel.say({"ready": True})
+                    assert (await channel.hear(5.0))["go"]  # the old one accepts no more
+                elif how == "talks nonsense":
+                    channel.sock.sendall(b"\xff\n")
+                channel.close()
+                await site.line(first, b"this process goes on")
+            await load.served(30)
+            site.write()
+            await site.start("--take-over")  # the next one can
+            assert await first.wait() == 0
+            await load.served(30)
+
+
+@on_loop
+async def test_a_successor_that_never_gets_ready_is_given_up(tmp_path):
+    ledger = Ledger(TERMS)
+    async with Site(tmp_path, ledger=ledger) as site:
+        site.write(daemon="handover_wait = 0.3")
+        first = await site.start()
+        async with Load(site, ledger) as load:
+            _, channel = await hand(site)
+            await site.line(first, b"nothing heard for")
+            await load.served(30)
+            channel.close()
+            assert first.returncode is None
+
+
+@on_loop
+async def test_of_two_successors_at_once_one_is_told_to_try_again(tmp_path):
+    ledger = Ledger(TERMS)
+    async with Site(tmp_path, ledger=ledger) as site:
+        first = await site.start()
+        async with Load(site, ledger) as load:
+            _, channel = await hand(site)
+            second = await site.start("--take-over", ready=False)
+            assert await second.wait() == 75 and b"try again" in await second.stderr.read()
+            channel.close()
+            await site.line(first, b"this process goes on")
+            await load.served(30)
+
+
+@on_loop
+async def test_the_successor_serves_by_its_own_settings(tmp_path):
+    async with Site(tmp_path) as site:
+        first = await site.start()
+        more = free_port()
+        site.write([site.port, more], limits="max_attempts = 2")
+        await site.start("--take-over")
+        assert await first.wait() == 0
+        assert (await site.ask(command(b"a"), more)).startswith(b"$")
+        assert (await site.ask(command(b"b"))).startswith(b"$")
+
+
+@on_loop
+async def test_what_the_old_one_took_is_answered_by_it(tmp_path):
+    async with Site(tmp_path, hosts=1, answer=lambda: None) as site:
+        first = await site.start()
+        asked = asyncio.ensure_future(site.ask(command(b"before")))
+        await site.hosts[0].arrived.get()
+        await site.start("--take-over")
+        assert first.returncode is None
+        site.hosts[0].writers[0].write(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+        assert await asked == SERVED
+        assert await first.wait() == 0
+
+
+@on_loop
+async def test_nobody_to_take_over_from_and_a_folder_in_use(tmp_path):
+    async with Site(tmp_path) as site:
+        alone = await site.start("--take-over", ready=False)
+        assert await alone.wait() == 1 and b"nobody to take over from" in await alone.stderr.read()
+        await site.start()
+        site.write([free_port()])
+        second = await site.start(ready=False)
+        assert await second.wait() == 1
+        said = await second.stderr.read()
+        assert b"in use by process %d" % site.programs[1].pid in said
+
+
+@on_loop
+async def test_a_killed_gateway_leaves_its_folder_free(tmp_path):
+    async with Site(tmp_path) as site:
+        first = await site.start()
+        first.send_signal(signal.SIGKILL)
+        await first.wait()
+        await site.start()
+        assert (await site.ask(command())).startswith(b"$")
+
+
+@on_loop
+async def test_a_long_list_of_hosts_is_handed_over_whole():
+    one, other = socket.socketpair()
+    left, right = Channel(one), Channel(other)
+    known = {"servers": [{"id": f"h{n}", "addr": "127.0.0.1:1"} for n in range(20_000)]}
+    with contextlib.closing(left), contextlib.closing(right):
+        heard = asyncio.ensure_future(right.hear(5.0))
+        await left.say({"known": known})
+        assert (await heard)["known"] == known
+        assert len(json.dumps(known)) > 500_000
