--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# `make demo` and `make test` do all the set-up by themselves, on a machine with Python 3.11 or newer.
+VENV ?= .venv-dev
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint bench clean
+
+demo: $(VENV)/ready
+	$(BIN)/python -m calicomast demo
+
+test: lint
+	$(BIN)/python -m pytest -q
+
+lint: $(VENV)/ready
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+$(VENV)/ready: requirements.txt requirements-daemon.txt requirements-tools.txt requirements-dev.txt
+	python3 -m venv $(VENV)
+	$(BIN)/pip -q install -r requirements-dev.txt
+	touch $@
+
+clean:
+	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .import_linter_cache
--- /dev/null
+++ b/tests/standins/test_standins.py
@@ -0,0 +1,187 @@
+"""The stand-ins by themselves: each does what its script says, and the ledger sees what passes on their
+sockets."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from netkit import command, on_loop, read_reply
+
+from calicomast.standins.clients import Client, Order
+from calicomast.standins.counter import StandInCounter
+from calicomast.standins.discovery import StandInDiscovery
+from calicomast.standins.hosts import StandInHost
+from calicomast.standins.ledger import RULES, Kind, Ledger, Terms
+from calicomast.standins.listener import Listener
+from calicomast.standins.script import Script, Step
+
+TERMS = Terms({"read": Kind("safe"), "note": Kind("unsafe")})
+
+
+async def ask(port, text):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(text)
+    try:
+        return await reader.read() if text == b"" else await reader.readuntil(b"\r\n")
+    except asyncio.IncompleteReadError as err:
+        return err.partial
+    except ConnectionResetError:
+        return b"reset"
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("step, answer", [
+    (Step(), b"*3\r\n"), (Step("busy"), b"-BUSY\r\n"), (Step("error"), b"-ERR failed\r\n"),
+    (Step("spoilt"), b"?what\r\n"), (Step("half"), b"*3\r\n"), (Step("stall", delay=0.01), b"*3\r\n"),
+    (Step("slow", factor=2.0), b"*3\r\n")])
+@on_loop
+async def test_a_host_does_what_its_script_says(step, answer):
+    async with StandInHost(script=Script([step]), work=lambda _: 0.001) as host:
+        assert await ask(host.port, command()) == answer
+
+
+@on_loop
+async def test_a_host_that_resets_and_one_that_is_silent():
+    async with StandInHost(script=Script([Step("reset", count=1), Step("silent", count=1)])) as host:
+        assert await ask(host.port, command()) in (b"reset", b"")
+        reader, writer = await asyncio.open_connection("127.0.0.1", host.port)
+        writer.write(command(b"a") + command(b"b"))
+        while len(host.commands) < 3:
+            await host.arrived.get()
+        writer.write_eof()
+        assert await reader.read() == b""  # answers come in order: behind the silent one there is none
+
+
+@on_loop
+async def test_a_host_has_so_many_cores_and_so_much_room():
+    async with StandInHost(work=lambda _: 60.0, cores=1, queue=1) as host:
+        first = [await asyncio.open_connection("127.0.0.1", host.port) for _ in range(2)]
+        for n, (_, writer) in enumerate(first):
+            writer.write(command(b"r%d" % n))
+            await host.arrived.get()
+        assert await ask(host.port, command(b"more")) == b"-BUSY\r\n"
+        assert await ask(host.port, b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n") == b"$27\r\n"
+        assert host.report() == b"active=2,waiting=1,cpu=1.00"
+        first[1][1].close()  # what waits is dropped with its connection
+        while host.connections > 1:
+            await host.arrived.get()
+        assert (host.running, len(host.line)) == (1, 1)
+        first[0][1].close()
+
+
+@on_loop
+async def test_a_host_that_restarts_is_cold_and_has_forgotten_its_work():
+    ledger = Ledger(TERMS)
+    async with StandInHost(work=lambda _: 60.0, cold_share=0.2, ledger=ledger) as host:
+        reader, writer = await asyncio.open_connection("127.0.0.1", host.port)
+        writer.write(command())
+        await host.arrived.get()
+        assert host.warmth() == 1.0 and host.running == 1
+        await host.restart()
+        assert await reader.read() == b""
+        assert 0.2 <= host.warmth() < 0.3 and host.running == 0 and host.entry()["started_ms"] > 0
+        assert [start[1] for start in ledger.starts] == [host.name]
+        assert [a.how for a in ledger.attempts] == ["closed"]
+        writer.close()
+
+
+@on_loop
+async def test_a_counter_does_what_its_script_says():
+    steps = [Step("busy", count=1), Step("error", count=1), Step("spoilt", count=1), Step("half", count=1),
+             Step("reset", count=1), Step("stall", count=1, delay=0.01)]
+    async with StandInCounter(script=Script(steps)) as counter:
+        said = [await ask(counter.port, b"incr n 1 60000\r\n") for _ in range(7)]
+        assert said[:4] == [b"busy\r\n", b"error\r\n", b"ok {}\r\n", b"ok"] and said[4] in (b"reset", b"")
+        assert said[5:] == [b"ok 4\r\n", b"ok 5\r\n"]  # busy and error added nothing, the others did
+        assert await ask(counter.port, b"ping\r\n") == b"pong\r\n"
+        assert await ask(counter.port, b"what\r\n") == b"error\r\n"
+        await counter.restart()
+        assert await ask(counter.port, b"incr n 2 1\r\n") == b"ok 2\r\n"
+        counter.ends[b"n"] = 0.0  # its life is over
+        assert await ask(counter.port, b"incr n 3 60000\r\n") == b"ok 3\r\n"
+
+
+@on_loop
+async def test_discovery_tells_changes_to_the_watch_and_the_ledger_when():
+    ledger = Ledger(TERMS)
+    async with StandInDiscovery("g0", ledger) as discovery, aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{discovery.port}/v1/endpoints"
+        one = StandInHost(name="h1")
+        discovery.servers = [one.entry()]
+
+        async def get(**query):
+            async with session.get(url, params=query) as answer:
+                return await answer.json(content_type=None)
+
+        whole = await get()
+        assert whole["full"] and [s["id"] for s in whole["servers"]] == ["h1"]
+        watch = asyncio.ensure_future(get(index=whole["version"], wait=20_000))
+        while discovery.calls.qsize() < 2:
+            await asyncio.sleep(0)
+        assert not watch.done() and ledger.tellings["g0", "h1"][-1][1] == "up"
+        discovery.change([one.entry("draining")])
+        assert [s["state"] for s in (await watch)["servers"]] == ["draining"]
+        assert [state for _, state in ledger.tellings["g0", "h1"]] == ["up", "draining"]
+        discovery.change([one.entry("removed")])
+        assert (await get(index=whole["version"], wait=0))["servers"][-1]["state"] == "removed"
+        assert (await get())["servers"] == []
+
+
+class Rogue(Listener):
+    """A gateway that breaks a rule: it sends each request to all hosts at once, and answers twice or not at
+    all."""
+
+    def __init__(self, hosts, answers):
+        super().__init__()
+        self.hosts, self.answers, self.copies = hosts, answers, []
+
+    async def serve(self, reader, writer):
+        while data := await reader.read(65536):
+            for host in self.hosts:
+                self.copies.append(await asyncio.open_connection("127.0.0.1", host.port))
+                self.copies[-1][1].write(data)
+            for copy, _ in self.copies:
+                await read_reply(copy)
+            writer.write(b"$8\r\nmade up!\r\n" * self.answers)
+
+
+@pytest.mark.parametrize("answers, broken", [(0, {RULES[0], RULES[1]}), (2, {RULES[0], RULES[1]})])
+@on_loop
+async def test_the_ledger_finds_a_rogue_out(answers, broken, monkeypatch):
+    monkeypatch.setattr("calicomast.standins.clients.GIVE_UP", 0.0)
+    ledger = Ledger(TERMS)
+    async with StandInHost(name="h1", work=lambda _: 0.2, ledger=ledger) as one, \
+            StandInHost(name="h2", work=lambda _: 0.2, ledger=ledger) as two, Rogue([one, two],
+                                                                                    answers) as rogue:
+        client = Client(ledger, {"g0": ("127.0.0.1", rogue.port)})
+        order = Order("r1", "0000000000000001", "p", "note", "unsafe", 0.5)
+        answer = await client.ask("g0", order)
+        assert answer.kind == ("lost" if answers == 0 else "served")
+        while answers == 2 and not ledger.surplus:
+            await asyncio.sleep(0)
+        client.close()
+        assert {v.rule for v in ledger.judge() if not v.kept} == broken
+
+
+@on_loop
+async def test_a_client_asks_once_more_where_its_request_crossed_a_close():
+    ledger = Ledger(TERMS)
+
+    class Closer(Listener):
+        """Answers the first request of a connection and closes it with the second unread."""
+
+        async def serve(self, reader, writer):
+            await reader.read(65536)
+            writer.write(b"$1\r\nv\r\n")
+            await reader.read(65536)
+
+    async with Closer() as gateway:
+        client = Client(ledger, {"g0": ("127.0.0.1", gateway.port)})
+        for n in range(2):
+            order = Order(f"r{n}", "0000000000000001", "p", "read", "safe", 3.0)
+            assert (await client.ask("g0", order)).kind == "served"
+        assert len(gateway.writers) == 2 and len(ledger.tries) == 2
+        client.close()
+
+
--- /dev/null
+++ b/tests/tools/test_demo.py
@@ -0,0 +1,36 @@
+"""The demo ends by itself, and its exit code is the ledger's verdict."""
+
+import subprocess
+import sys
+
+import pytest
+from rich.console import Console
+from rig import ROOT
+
+from calicomast.standins.ledger import Verdict
+from calicomast.tools import demo
+
+
+def test_the_demo_ends_by_itself_with_the_rules_kept():
+    ended = subprocess.run([sys.executable, "-B", "-m", "calicomast", "demo", "--seconds", "6"], cwd=ROOT,
+                           capture_output=True, text=True, timeout=120)
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    for text in ("falls silent", "drains", "is killed", "returns", "comes back, cold", "no request lost",
+                 "kept"):
+        assert text in ended.stdout
+    assert "BROKEN" not in ended.stdout
+
+
+@pytest.mark.parametrize("breaches, word", [((), "kept"), (("a1 was lost",), "BROKEN")])
+def test_a_broken_rule_is_shown(breaches, word):
+    console = Console(record=True, width=100, file=open("/dev/null", "w"))
+    console.print(demo.verdicts_table((Verdict("no request lost", 3, breaches),)))
+    text = console.export_text()
+    assert word in text and all(b in text for b in breaches)
+
+
+def test_customers_ask_under_at_and_over_their_quotas_by_seed():
+    one, other = demo.customers(1), demo.customers(2)
+    assert one == demo.customers(1) != other
+    rates = {c.rate / demo.SHAPE.plans[c.plan].rate for c in one}
+    assert min(rates) < 0.5 and max(rates) > 2 and any(0.9 < r < 1 for r in rates)
