--- a/calicomast/fronts/resp/command.py
+++ b/calicomast/fronts/resp/command.py
@@ -47,14 +47,19 @@
         start = (b"," + terms).index(b",d=") + 2
         end = terms.find(b",", start)
         told = b"%s%d%s" % (terms[:start], max(1, int(left * 1000)), terms[end:] if end >= 0 else b"")
-        parts = [*self.parts[:3], told, *self.parts[4:]]
-        return b"*%d\r\n%s" % (len(parts), b"".join([bulk(part) for part in parts]))
+        verb, customer, name = self.parts[:3]
+        body = bulk(self.parts[4]) if len(self.parts) > 4 else b""
+        return b"*%d\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n%s" % (
+            len(self.parts), len(verb), verb, len(customer), customer, len(name), name, len(told), told, body)
 
 
 def read_command(settings: api.Settings, command: object) -> tuple[api.Request, Command]:
     """Raises BadRequest."""
-    if not isinstance(command, list) or {type(part) for part in command} - {bytes}:
+    if not isinstance(command, list):
         raise BadRequest("not an array of bulk strings")
+    for part in command:
+        if type(part) is not bytes:
+            raise BadRequest("not an array of bulk strings")
     verb = command[0] if command else b""
     write = verb == b"API.WRITE"
     if not write and verb != b"API.READ":
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -205,7 +205,14 @@
         return pool if known is None else pool + (known[0] - pool) * 0.5 ** ((now - known[1]) / FORGET)
 
     def sound(self, host: str, keys: tuple[str, ...], now: float) -> float:
-        return (1 - max(self.at(host, key, now) for key in keys)) ** 2
+        worst = 0.0  # max over `at`, written out: it runs for each host at each request
+        for key in keys:
+            q, known = self.pool.get(key, DOUBT_LEAST), self.hosts.get((host, key))
+            if known is not None:
+                q += (known[0] - q) * 0.5 ** ((now - known[1]) / FORGET)
+            if q > worst:
+                worst = q
+        return (1 - worst) ** 2
 
     def note(self, host: str, keys: tuple[str, ...], failed: bool, now: float) -> None:
         most = max(self.pool.get(key, DOUBT_LEAST) for key in keys)
@@ -243,7 +250,7 @@
         self.rests[keys[-1]] = failed, now + min(TRIAL_MOST, TRIAL_LEAST * 2.0 ** min(failed - 1, 10))
 
     def resting(self, now: float, keys: tuple[str, ...]) -> bool:
-        return bool(self.rests) and any(now < self.rests.get(key, (0, 0.0))[1] for key in keys)
+        return any(now < self.rests.get(key, (0, 0.0))[1] for key in keys)
 
     def warmth(self, now: float, rules: api.Rules) -> float:
         age = max(0.0, now - self.host.started)
@@ -262,7 +269,7 @@
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
-        self.top = 1.0  # largest weight
+        self.top, self.most = 1.0, 2.0  # largest weight; own attempts out at most
 
     def listed(self, now: float, event: api.HostList) -> None:
         if event.mode not in ("delta", "failed"):
@@ -282,6 +289,8 @@
         self.forget(now)
         self.up = [s for s in self.servers.values() if s.up]
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
+        # Many gateways with one out at each server overdrive all, so what one has out in all is limited too.
+        self.most = max(2.0, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
 
     def forget(self, now: float) -> None:
         """Hosts come under ever new ids: what is gone for long, with nothing out there, is dropped."""
@@ -300,10 +309,11 @@
         return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
 
     def may_send(self, s: Server, now: float, keys: tuple[str, ...] = ("host",)) -> bool:
-        # Many gateways with one out at each server overdrive all, so what one has out in all is limited too.
-        most = max(2.0, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
-        if not s.up or len(s.out) >= int(self.limit + s.dice) or self.out >= most or s.resting(now, keys):
+        if not s.up or self.out >= self.most or len(s.out) >= int(self.limit + s.dice) or (
+                s.rests and s.resting(now, keys)):
             return False
+        if not s.host.started:  # warm: the usual case
+            return True
         rules = self.set.rules
         warm = s.warmth(now, rules)
         if warm == 1.0:
@@ -326,8 +336,9 @@
         load = len(s.out) + fresh * s.others + (1 - fresh) * self.mean_held()
         size = max(s.host.weight, 1e-9)  # what a cold one may get is up to its credit
         cross = self.set.prices.get("cross_zone", 0.0) * CROSS_WEIGHT if s.host.zone != self.set.zone else 0.0
-        sound = max(0.01, self.doubt.sound(s.host.id, keys, now))
-        return max(0.3, s.ratio) * (1 + load / SERVERS_OF_HOST) / size / sound + cross
+        sound = self.doubt.sound(s.host.id, keys, now)
+        ratio = s.ratio if s.ratio > 0.3 else 0.3
+        return ratio * (1 + load / SERVERS_OF_HOST) / size / (sound if sound > 0.01 else 0.01) + cross
 
     def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
         """Best of some servers, drawn by weight: as many as this gateway has fresh reports for, two at least,
--- a/calicomast/tools/demo.py
+++ b/calicomast/tools/demo.py
@@ -168,7 +168,8 @@
 async def kept(fleet: Fleet, console: Console) -> None:
     """Until Ctrl-C."""
     port = fleet.gateways[0].port
-    console.print(f"The gateways stay up: {', '.join(f'127.0.0.1:{g.port}' for g in fleet.gateways)}. Try one:\n"
+    addresses = ", ".join(f"127.0.0.1:{gateway.port}" for gateway in fleet.gateways)
+    console.print(f"The gateways stay up: {addresses}. Try one:\n"
                   f"  redis-cli -p {port} API.READ 00000000000000ff request-1 "
                   f"c=roster-read,t=basic,d=3000,units=1,spread=3,first=0\n"
                   f"Each request needs an id of its own. Settings and state: {fleet.folder}. Ctrl-C ends it.",
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -12,34 +12,16 @@
 from calicomast.standins.discovery import StandInDiscovery as StubDiscovery
 from calicomast.standins.hosts import VALUE
 from calicomast.standins.hosts import StandInHost as StubHost
+from calicomast.standins.platform import SETTINGS
+from calicomast.standins.platform import configuration as told
+from calicomast.standins.platform import entry as platform_entry
 
-__all__ = ["VALUE", "StubCounter", "StubDiscovery", "StubHost"]
+__all__ = ["SETTINGS", "VALUE", "told", "StubCounter", "StubDiscovery", "StubHost"]
 
 PATIENCE = 20  # s for a test as a whole: far over what any needs
 TERMS = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
 SERVED = b"$5\r\nvalue\r\n"
 
-SETTINGS = {
-    "group_size": 1, "index": 0, "locality": "a", "registry_mode": "pushed",
-    "limits": {"cancel": True, "second_copies": False, "probes": True, "max_attempts": 3, "retry_after": True,
-               "max_retry_after": 2_000_000_000, "connect_timeout": 250_000_000,
-               "idle_close": 30_000_000_000, "max_open": 20000},
-    "rules": {"answer_slack": 8_000_000, "drain_grace": 1_000_000_000, "start_capacity": 0.2,
-              "cold": 1_000_000_000, "fall_multiple": 2.0, "tip_after": 1_000_000_000},
-    "services": [
-        {"name": "read", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "pure", "gain": 1.0},
-        {"name": "write", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "token", "gain": 1.0,
-         "dedup_scope": "cell", "memory_span": 3_000_000_000},
-        {"name": "note", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "side_effect",
-         "gain": 1.0}],
-    "plans": [{"name": "p", "rate": 1000.0, "most_at_once": 10000.0},
-              {"name": "small", "rate": 1.0, "most_at_once": 1.0}],
-    "prices": {"cross_zone": 0.005}, "reporting": {"names": ["active"], "via": "answers"},
-    "specifics": {"shared_counter": True, "counter_price": 0.01, "counter_timeout": 80_000_000,
-                  "units_top": 1},
-    "weights": "none"}
-
-
 def on_loop(test):
     """Runs an async test on the loop that the gateway runs on."""
     @functools.wraps(test)
@@ -75,15 +57,7 @@
 
 
 def entry(host, name="h1", state="up", port=None):
-    return {"id": name, "addr": f"127.0.0.1:{port or host.port}", "zone": "a", "kind": "k", "cell": 0,
-            "state": state, "weight": 1.0, "started_ms": 0}
-
-
-def told(listed, discovery_port, counter_port, settings=None):
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery_port}", "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "counter": f"127.0.0.1:{counter_port}",
-            "known": {"version": 1, "full": True, "servers": listed}, "settings": settings or SETTINGS}
+    return platform_entry(name, port or host.port, state)
 
 
 class Node:
