--- a/calicomast/core/budget.py
+++ b/calicomast/core/budget.py
@@ -14,14 +14,15 @@
     def __init__(self, most: float) -> None:
         self.most, self.used = most, 0.0
         self.by: dict[object, float] = {}
+        self.left: set[object] = set()  # fronts that are gone and still hold some
 
     def join(self, front: object) -> None:
         self.by.setdefault(front, 0.0)
 
     def leave(self, front: object) -> None:
         """Its reserve goes to the others; what it still holds is given back as it ends."""
-        if not self.by.get(front):
-            self.by.pop(front, None)
+        self.left.add(front)
+        self.give(front, 0)
 
     def free(self, front: object) -> float:
         """How much more `front` may take now; nothing or less: none."""
@@ -40,3 +41,6 @@
     def give(self, front: object, amount: float) -> None:
         self.used -= amount
         self.by[front] -= amount
+        if self.left and front in self.left and not self.by[front]:
+            self.left.discard(front)
+            del self.by[front]
--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -23,6 +23,7 @@
 
 OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
+READ = 0.005  # s for the loop to read what lay in the sockets when the connections were told to end
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 
 log = logging.getLogger(__name__)
@@ -191,6 +192,7 @@
         await asyncio.sleep(self.config.linger if linger is None else linger)
         for front in self.fronts:
             front.finish()
+        await asyncio.sleep(READ)
         await self.core.drain(began + self.config.finish - time.monotonic())
         await asyncio.sleep(0)  # the last answers are written at the end of this turn
         for front in self.fronts:
--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -21,7 +21,7 @@
 from calicomast.daemon.logs import Seldom, start_log
 from calicomast.daemon.node import GatewayNode, Source
 from calicomast.daemon.notify import Notifier
-from calicomast.daemon.settings import LIVE, Settings, changed, read_settings, to_config
+from calicomast.daemon.settings import Settings, changed, read_settings, taken_up, to_config
 from calicomast.daemon.sockets import bind, named, passed
 from calicomast.fronts.resp.front import RespFront
 from calicomast.membership.listing import read_list, write_list
@@ -49,7 +49,7 @@
 def in_force(old: Settings, new: Settings) -> Settings:
     """What holds after a reload: of the new settings those that a reload takes up, else the old."""
     tree, told = msgspec.to_builtins(old), msgspec.to_builtins(new)
-    for key in LIVE:
+    for key in taken_up(old, new):
         part, _, name = key.partition(".")
         if name:
             tree[part][name] = told[part][name]
@@ -91,13 +91,12 @@
         return OK
 
     async def start(self, take_over: bool) -> None:
-        state, given = self.settings.daemon.state, passed()
-        wanted = (self.config.listen, *self.config.more)
+        state, wanted = self.settings.daemon.state, (self.config.listen, *self.config.more)
+        self.sockets = named(passed(), wanted)
         if take_over:
-            given += await self.inherit(state)
+            self.sockets |= await self.inherit(state)
         elif state:
             self.lock = Lock(state)
-        self.sockets = named(given, wanted)
         for address in wanted:
             if address not in self.sockets:
                 self.sockets[address] = bind(address)
@@ -125,7 +124,7 @@
             log.info("%s listens on %s", self.config.name, write_address((front.address[0], front.port)))
         self.notifier.ready(f"serving as {self.config.name}", main=take_over)
 
-    async def inherit(self, state: str) -> list[socket.socket]:
+    async def inherit(self, state: str) -> dict[Address, socket.socket]:
         if not state:
             raise HandOverFailed("daemon.state names no folder, so there is nobody to take over from")
         self.heir = Heir(os.path.join(state, "handover"))
@@ -136,11 +135,11 @@
         self.lock = Lock(state, descriptors[-1])
         if known:
             self.config = replace(self.config, known=read_list(known, "cached"))
-        wanted = {write_address(address) for address in (self.config.listen, *self.config.more)}
-        kept = []
+        wanted = {write_address(address): address for address in (self.config.listen, *self.config.more)}
+        kept: dict[Address, socket.socket] = {}
         for name, sock in zip(listeners, sockets, strict=True):
             if name in wanted:
-                kept.append(sock)
+                kept[wanted[name]] = sock
             else:  # a listener that the new settings have no more
                 sock.close()
         return kept
@@ -170,7 +169,8 @@
         return names, descriptors, write_list(self.node.listing)
 
     async def resume(self) -> None:
-        await self.node.resume(self.sockets)
+        if not self.told.is_set():  # else it ends, and accepts no more
+            await self.node.resume(self.sockets)
 
     def succeeded(self) -> None:
         self.handed_over = True
--- a/calicomast/daemon/settings.py
+++ b/calicomast/daemon/settings.py
@@ -272,10 +272,17 @@
 def changed(old: Settings, new: Settings) -> tuple[list[str], list[str]]:
     """The keys whose values differ: those that a reload takes up, and those that need a restart."""
     keys = sorted(key for key, _ in differences(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
-    live = [key for key in keys if key in LIVE]
+    live = [key for key in keys if key in taken_up(old, new)]
     return live, [key for key in keys if key not in live]
 
 
+def taken_up(old: Settings, new: Settings) -> list[str]:
+    """LIVE, but that a counter comes or goes by a restart only: the decision module is built with or
+    without."""
+    moved = bool(old.counter.address) == bool(new.counter.address)
+    return [key for key in LIVE if moved or key != "counter.address"]
+
+
 def differences(old: Any, new: Any, path: str) -> Iterator[tuple[str, Any]]:
     if isinstance(old, dict) and isinstance(new, dict):
         for name in old.keys() | new.keys():
--- a/calicomast/fronts/resp/server.py
+++ b/calicomast/fronts/resp/server.py
@@ -124,9 +124,12 @@
         return told != b"\0\0\0\0"
 
     def close_when_done(self) -> None:
-        """What still comes on it before that is served too: it was taken."""
+        """What still comes on it before that is served too: it was taken. So was what lies unread in its
+        socket: a connection that asks just now ends with that answer, or by time where it is half a
+        command."""
         self.closing = True
-        self.flush()
+        if self.pending or self.transport.is_closing() or not self.unread():
+            self.flush()
 
     def flush(self) -> None:
         pending = self.pending
--- a/tests/core/test_life.py
+++ b/tests/core/test_life.py
@@ -313,5 +313,16 @@
                 assert budget.free(other) > 0
 
 
+def test_a_front_that_has_gone_takes_its_reserve_along_once_it_holds_nothing():
+    budget = Budget(40)
+    for front in ("stays", "goes"):
+        budget.join(front)
+    budget.take("goes", 1)
+    budget.leave("goes")
+    assert budget.free("stays") == 40 - 1 - 9  # what it has in work still counts
+    budget.give("goes", 1)
+    assert budget.free("stays") == 40 and budget.by == {"stays": 0}
+
+
 def test_the_guard_comes_before_the_clients_time_is_up():
     assert 0 < life.GUARD < life.WAY_BACK
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -16,6 +16,7 @@
 from calicomast.daemon.serve import in_force
 from calicomast.daemon.settings import (
     LIVE,
+    CounterPart,
     Settings,
     changed,
     differences,
@@ -197,6 +198,13 @@
     assert changed(now, new) == ([], restart)  # never silently left
 
 
+def test_a_counter_comes_or_goes_by_a_restart_only():
+    none, one, other = (Settings(counter=CounterPart(address=address)) for address in ("", "h:1", "h:2"))
+    assert changed(one, other) == (["counter.address"], []) and in_force(one, other) == other
+    for old, new in ((none, one), (one, none)):
+        assert changed(old, new) == ([], ["counter.address"]) and in_force(old, new) == old
+
+
 def test_what_a_reload_takes_up_are_keys_that_exist():
     tree = msgspec.to_builtins(Settings())
     for key in LIVE:
--- a/tests/faults/test_handover.py
+++ b/tests/faults/test_handover.py
@@ -112,6 +112,18 @@
         assert (await site.ask(command(b"b"))).startswith(b"$")
 
 
+@on_loop
+async def test_a_port_that_was_drawn_is_handed_over(tmp_path):
+    async with Site(tmp_path) as site:
+        site.write([0])
+        first = await site.start(ready=False)
+        port = int((await site.line(first, b"listens on")).rsplit(b":", 1)[1])
+        second = await site.start("--take-over", ready=False)
+        assert int((await site.line(second, b"listens on")).rsplit(b":", 1)[1]) == port
+        assert await first.wait() == 0
+        assert (await site.ask(command(), port)).startswith(b"$")
+
+
 @on_loop
 async def test_what_the_old_one_took_is_answered_by_it(tmp_path):
     async with Site(tmp_path, hosts=1, answer=lambda: None) as site:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
@@ -86,6 +87,22 @@
         assert [await read_reply(reader) for _ in range(3)] == [SERVED, SERVED, b""]
 
 
+@on_loop
+async def test_what_lies_unread_when_connections_are_told_to_end_is_served(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        server = node.node.fronts[0].server
+        with socket.create_connection(("127.0.0.1", node.port)) as sock:
+            sock.setblocking(False)
+            while not server.clients:
+                await asyncio.sleep(0)
+            sock.send(command())  # in the server's socket, which it has not read
+            node.node.fronts[0].finish()
+            loop, got = asyncio.get_running_loop(), b""
+            while data := await loop.sock_recv(sock, 100):
+                got += data
+            assert got == SERVED
+
+
 @pytest.mark.parametrize("sent, told", [(b"", b""), (b"*4\r\n$8\r\nAPI.R", b"-ERR"),
                                         (b"*1\r\n$4\r\nPING\r\n", b"+PONG")])
 @on_loop
