Hosts from a Eureka registry: model, replica, belief, source, registration, stand-in

Need: the list of hosts comes from a registry, and registries fail in ways of their own. belief.py is the pure judge of what to believe of a list: marks count at once, most hosts missing at once are doubted, a list is never emptied, older news brings nothing back, flapping hosts come back when calm. The source reads whole lists and deltas with the hash, JSON and XML, by app or vip, with bounds, fail-over and back-off; the gateway can register itself.

--- a/calicomast/checked.py
+++ b/calicomast/checked.py
@@ -9,6 +9,7 @@
 import copy
 import difflib
 import os
+import re
 import stat
 import tomllib
 from collections.abc import Iterable
@@ -48,7 +49,7 @@
 
 
 def shown(value: object) -> str:
-    text = repr(value).replace("\n", " ")
+    text = re.sub(r"//[^/@\s]*@", "//(hidden)@", repr(value).replace("\n", " "))  # credentials in an address
     return text if len(text) <= MOST_SHOWN else text[:MOST_SHOWN - 3] + "..."
 
 
@@ -103,7 +104,8 @@
 
     def fault(self, path: Path, value: object, reason: str, remedy: str) -> None:
         self.paths.append(path)
-        text = "" if value is None else shown(value)
+        hidden = path[-1:] == ("password",)  # never in a log
+        text = "" if value is None else "(hidden)" if hidden else shown(value)
         self.faults.append(Fault(self.file, written(path), text, reason, remedy))
 
     def contradiction(self, path: Path, value: object, reason: str, remedy: str) -> None:
--- a/calicomast/cli/main.py
+++ b/calicomast/cli/main.py
@@ -38,6 +38,16 @@
         "with file, key, value, reason and remedy. Exit code 2 if anything is.")
     one.add_argument("file", metavar="FILE")
 
+    one = commands.add_parser(
+        "hosts", help="what a gateway believes of its hosts",
+        description="Prints source, age, and each host's state with the doubts there are: as the gateway "
+                    "that runs "
+                    "with this file's state folder believes it, or straight from the registry that the file "
+                    "names.")
+    one.add_argument("file", metavar="FILE")
+    one.add_argument("--registry", action="store_true", help="ask the registry, not a gateway")
+    one.add_argument("--json", action="store_true")
+
     one = commands.add_parser(
         "demo", help="a fleet of stand-ins, three gateways and some trouble, on loopback",
         description="Starts three gateways, nine hosts in three zones, a counter and discovery on loopback, "
@@ -49,6 +59,8 @@
                     "Exit code 1 if one broke.")
     one.add_argument("--seconds", type=float, default=20.0, metavar="S", help="how long (default 20)")
     one.add_argument("--seed", type=int, default=1, metavar="N", help="of the traffic (default 1)")
+    one.add_argument("--registry", choices=("discovery", "eureka"), default="discovery",
+                     help="where the list of hosts comes from (default discovery)")
     one.add_argument("--keep", action="store_true",
                      help="leave it up afterwards, to try by hand, until Ctrl-C")
 
@@ -79,8 +91,12 @@
         from calicomast.cli.check import check
 
         return check(told.file)
+    if told.command == "hosts":
+        from calicomast.cli.hosts import hosts
+
+        return hosts(told.file, told.registry, told.json)
     if told.command == "demo":
         demo = importlib.import_module("calicomast.tools.demo")
-        return int(demo.main(told.seconds, told.seed, told.keep))
+        return int(demo.main(told.seconds, told.seed, told.keep, told.registry))
     print(f"calicomast {__version__}")
     return 0
--- a/calicomast/core/ports.py
+++ b/calicomast/core/ports.py
@@ -79,7 +79,8 @@
 class Membership(Protocol):
     """Where the list of hosts comes from. It tells `Core.listed` and `Core.list_failed`."""
 
-    version: int
+    @property
+    def version(self) -> int: ...
 
     def watch(self, on: bool) -> None: ...
 
--- a/calicomast/daemon/config.py
+++ b/calicomast/daemon/config.py
@@ -6,12 +6,17 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from calicomast import interface as api
 from calicomast.membership.listing import Listing, read_list
 from calicomast.net.address import Address, read_address
 from calicomast.settings import read_settings, seconds
 
+if TYPE_CHECKING:
+    from calicomast.membership.eureka.registration import Own
+    from calicomast.membership.eureka.source import Registry
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why in one line."""
@@ -33,6 +38,8 @@
     max_open: int  # requests in work at once
     more: tuple[Address, ...] = ()  # further listeners
     hosts_file: str | None = None  # in place of a discovery
+    registry: Registry | None = None  # likewise
+    own: Own | None = None  # how this gateway registers itself
     linger: float = 0.5  # s after SIGTERM in which connections still come
     finish: float = 3.4  # s after SIGTERM by which everything is answered: the platform's SIGKILL is not far
 
--- a/calicomast/daemon/handover.py
+++ b/calicomast/daemon/handover.py
@@ -117,10 +117,14 @@
     """The side that serves. `pause` and `resume` stop and restart accepting; `done` hears that a successor
     serves. `wait`: seconds that a successor may take to get ready."""
 
+    # What it answers to whoever asks, `{"ask": NAME}`: the gateway's own state, for the command line.
+    questions: dict[str, Callable[[], dict[str, Any]]]
+
     def __init__(self, path: str, offer: Offer, pause: Callable[[], Awaitable[None]],
                  resume: Callable[[], Awaitable[None]], done: Callable[[], None], wait: float) -> None:
         self.path, self.offer, self.wait = path, offer, wait
         self.pause, self.resume, self.done = pause, resume, done
+        self.questions = {}
         self.busy = self.over = False
         self.sock: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -150,7 +154,11 @@
 
     async def asked(self, channel: Channel) -> None:
         try:
-            if (await channel.hear(SOON)).get("take") != 1:
+            told = await channel.hear(SOON)
+            if told.get("ask") in self.questions:
+                await channel.say(self.questions[told["ask"]]())
+                return
+            if told.get("take") != 1:
                 raise HandOverFailed("not a successor's first word")
             if self.busy or self.over:
                 await channel.say({"busy": True})
@@ -193,6 +201,20 @@
                     os.unlink(self.path)
 
 
+async def question(path: str, name: str) -> dict[str, Any]:
+    """Asks the gateway that holds this socket. Raises HandOverFailed."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    channel = Channel(sock)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, path)
+        await channel.say({"ask": name})
+        return await channel.hear(SOON)
+    except OSError as err:
+        raise HandOverFailed(f"{path}: no gateway runs there ({err.strerror})") from err
+    finally:
+        channel.close()
+
+
 class Heir:
     """The side that takes over: `take`, `ready`, `serving`, in this order. Each raises HandOverFailed."""
 
--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import msgspec
 import uvloop
@@ -27,6 +28,9 @@
 from calicomast.membership.listing import read_list, write_list
 from calicomast.net.address import Address, read_address, write_address
 
+if TYPE_CHECKING:
+    from calicomast.membership.eureka.registration import Registration
+
 OK, FAILED, UNUSABLE, TRY_AGAIN = 0, 1, 2, 75  # exit codes; the last as in sysexits.h
 # s that a successor waits for a line to the counter; a counter that is away stops no hand-over
 COUNTER_WAIT = 1.0
@@ -72,6 +76,7 @@
         self.reloading: asyncio.Task[None] | None = None
         self.again = False  # told to reload while a reload was under way
         self.handed_over = False
+        self.registration: Registration | None = None
 
     # Start
 
@@ -102,6 +107,13 @@
                 self.sockets[address] = bind(address)
         self.node = GatewayNode(self.config)
         self.node.prepare()
+        if self.config.own is not None and self.config.registry is not None:
+            from calicomast.membership.eureka.registration import Registration
+
+            registry = self.config.registry
+            self.registration = Registration(registry.urls, self.config.own, registry.user, registry.password,
+                                             registry.timeout)
+            self.registration.start()
         if not await self.able(self.settings.daemon.handover_wait if take_over else None):
             return
         if self.heir is not None:
@@ -118,7 +130,10 @@
             self.lock.sign()
             self.keeper = Keeper(os.path.join(state, "handover"), self.offer, self.node.pause, self.resume,
                                  self.succeeded, self.settings.daemon.handover_wait)
+            self.keeper.questions["hosts"] = self.node.hosts_believed
             self.keeper.open()
+        if self.registration is not None:
+            self.registration.up()
         gc.freeze()  # what the start made stays for good: no collection need look at it again
         for front in self.node.fronts:
             log.info("%s listens on %s", self.config.name, write_address((front.address[0], front.port)))
@@ -211,7 +226,7 @@
         if not os.environ.get("RELAY_CONFIG"):
             config = replace(self.config, more=config.more, listen=config.listen,
                              hosts_file=config.hosts_file,
-                             discovery=config.discovery,
+                             discovery=config.discovery, registry=config.registry,
                              counter=config.counter if self.config.counter else None,
                              max_open=config.max_open, linger=config.linger, finish=config.finish)
         addresses = [config.listen, *config.more]
@@ -255,7 +270,9 @@
 
     def source(self, config: Config) -> Source | None:
         """Where the list comes from now on, if from elsewhere."""
-        same = (config.hosts_file, config.discovery) == (self.config.hosts_file, self.config.discovery)
+        old = self.config
+        same = (config.hosts_file, config.discovery, config.registry) == (
+            old.hosts_file, old.discovery, old.registry)
         beside = bool(os.environ.get("RELAY_CONFIG"))
         return None if same or beside else self.node.source(config, self.node.discovery.version)
 
@@ -266,10 +283,14 @@
         if self.reloading is not None:
             self.reloading.cancel()
             await asyncio.gather(self.reloading, return_exceptions=True)
-        if not self.handed_over:  # else another accepts what still comes
-            await self.node.stop()
-        else:
+        if self.handed_over:  # another accepts what still comes, and holds the registration under the same id
             await self.node.stop(0.0)
+            return
+        if self.registration is not None:
+            await self.registration.down()
+        await self.node.stop()
+        if self.registration is not None:
+            await self.registration.leave()
 
     def close(self) -> None:
         if self.keeper is not None:
--- a/calicomast/daemon/settings.py
+++ b/calicomast/daemon/settings.py
@@ -10,7 +10,7 @@
 import os
 import random
 from collections.abc import Iterator
-from typing import Annotated, Any, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 
@@ -21,6 +21,9 @@
 from calicomast.membership.listing import Listing
 from calicomast.net.address import Address, read_address
 
+if TYPE_CHECKING:
+    from calicomast.membership.eureka.source import Registry
+
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Span = Annotated[float, msgspec.Meta(ge=0, le=3600)]  # s; 0 where it is allowed to be none
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
@@ -68,7 +71,7 @@
 
 
 class HostsPart(Part, frozen=True, kw_only=True):
-    source: Literal["file", "discovery"] = "file"
+    source: Literal["file", "discovery", "eureka"] = "file"
     file: str = "hosts.toml"
     discovery: str = ""
     idle_close: Seconds = 30.0
@@ -76,6 +79,59 @@
     cross_zone: Share = 0.0
 
 
+State = Literal["up", "draining", "gone"]
+
+
+class StatesPart(Part, frozen=True, kw_only=True):
+    UP: State = "up"
+    STARTING: State = "draining"
+    DOWN: State = "draining"
+    OUT_OF_SERVICE: State = "draining"
+    UNKNOWN: State = "draining"
+
+
+class EurekaPart(Part, frozen=True, kw_only=True):
+    urls: list[Annotated[str, msgspec.Meta(pattern=r"^https?://[^@\s]+$")]] = []
+    by: Literal["apps", "app", "vip", "svip"] = "apps"
+    name: str = ""
+    form: Literal["json", "xml"] = "json"
+    delta: bool = True
+    poll: Seconds = 5.0
+    timeout: Seconds = 2.0
+    max_answer_mb: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 32
+    user: str = ""
+    password: str = ""
+    address: Literal["ip", "name"] = "ip"
+    secure: bool = False
+    zone_key: str = "zone"
+    cell_key: str = "cell"
+    kind_key: str = "kind"
+    weight_key: str = "weight"
+    default_zone: str = "a"
+    states: StatesPart = StatesPart()
+
+
+class TrustPart(Part, frozen=True, kw_only=True):
+    doubt_share: Share = 0.34
+    doubt_time: Span = 30.0
+    looks: Annotated[int, msgspec.Meta(ge=1, le=100)] = 2
+    flaps: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 3
+    flap_time: Span = 60.0
+    calm_time: Span = 10.0
+
+
+class RegisterPart(Part, frozen=True, kw_only=True):
+    on: bool = False
+    app: Name = "GATEWAY"
+    id: str = ""
+    host_name: str = ""
+    ip: str = ""
+    vip: str = ""
+    renew: Seconds = 10.0
+    duration: Seconds = 30.0
+    metadata: dict[str, str] = {}
+
+
 class CounterPart(Part, frozen=True, kw_only=True):
     address: str = ""
     timeout: Seconds = 0.08
@@ -117,6 +173,9 @@
     limits: LimitsPart = LimitsPart()
     rules: RulesPart = RulesPart()
     hosts: HostsPart = HostsPart()
+    eureka: EurekaPart = EurekaPart()
+    trust: TrustPart = TrustPart()
+    register: RegisterPart = RegisterPart()
     counter: CounterPart = CounterPart()
     classes: dict[str, ClassPart] = {}
     plans: dict[str, PlanPart] = {}
@@ -124,7 +183,8 @@
 
 
 # What a reload takes up. All else holds from the next start on, or the next hand-over.
-LIVE = ("listeners", "hosts.source", "hosts.file", "hosts.discovery", "counter.address", "limits.max_open",
+LIVE = ("listeners", "hosts.source", "hosts.file", "hosts.discovery", "eureka", "trust", "counter.address",
+        "limits.max_open",
         "daemon.linger", "daemon.finish", "daemon.handover_wait", "daemon.log_lines")
 BESIDE = ("listeners", "daemon")  # what may be told beside the platform's RELAY_CONFIG
 
@@ -174,6 +234,7 @@
         check_address(reader, ("counter", "address"), told.counter.address)
     if told.hosts.source == "discovery":
         check_address(reader, ("hosts", "discovery"), told.hosts.discovery)
+    check_eureka(reader, told)
     for name, cls in told.classes.items():
         check_class(reader, ("classes", name), cls, told.daemon.finish)
     for name, plan in told.plans.items():
@@ -188,6 +249,23 @@
         return None
 
 
+def check_eureka(reader: Reader, told: Settings) -> None:
+    if (told.hosts.source == "eureka" or told.register.on) and not told.eureka.urls:
+        reader.contradiction(("eureka", "urls"), None, "no registry to ask",
+                             "add urls = [\"http://HOST:PORT/eureka\"]")
+    if told.eureka.by != "apps" and not told.eureka.name:
+        reader.contradiction(("eureka", "name"), told.eureka.name, f"no name of the {told.eureka.by}",
+                             "name it, or ask by apps")
+    if told.register.on and not told.register.ip:
+        reader.contradiction(("register", "ip"), told.register.ip, "no address at which others reach this "
+                                                                   "gateway",
+                             "name it")
+    if told.register.renew * 2 > told.register.duration:
+        reader.contradiction(("register", "duration"), told.register.duration, f"one lost renewal (every "
+                             f"{told.register.renew} s) may end it", "let it be twice as long as renew, or "
+                                                                     "more")
+
+
 def check_class(reader: Reader, at: Path, cls: ClassPart, finish: float) -> None:
     bad = reader.contradiction
     if cls.aim > cls.deadline:
@@ -233,7 +311,16 @@
         file = os.path.join(os.path.dirname(os.path.abspath(path)), told.hosts.file)
         known = read_hosts(file, "cached")
     listeners = [read_address(listener.address) for listener in told.listeners]
+    registry, own = to_registry(told), None
+    if told.register.on:
+        from calicomast.membership.eureka.registration import Own
+
+        part, port = told.register, listeners[0][1]
+        own = Own(part.app, part.id or f"{told.gateway.name}:{port}", part.host_name or part.ip, part.ip,
+                  port,
+                  part.vip, part.renew, part.duration, part.metadata)
     return Config(
+        registry=registry, own=own,
         name=told.gateway.name, listen=listeners[0], more=tuple(listeners[1:]),
         discovery=read_address(told.hosts.discovery) if told.hosts.source == "discovery" else None,
         hosts_file=file, counter=read_address(told.counter.address) if told.counter.address else None,
@@ -244,6 +331,22 @@
         finish=told.daemon.finish)
 
 
+def to_registry(told: Settings) -> Registry | None:
+    if told.hosts.source != "eureka" and not told.register.on:
+        return None
+    from calicomast.membership.belief import Trust
+    from calicomast.membership.eureka.mapping import Terms
+    from calicomast.membership.eureka.source import Registry
+
+    part = told.eureka
+    terms = Terms(part.zone_key, part.cell_key, part.kind_key, part.weight_key, part.default_zone,
+                  part.address,
+                  part.secure, msgspec.to_builtins(part.states))
+    return Registry(tuple(part.urls), part.by, part.name, part.form, part.poll, part.timeout,
+                    part.max_answer_mb * 1024 * 1024, part.user, part.password, part.delta, terms,
+                    Trust(**msgspec.to_builtins(told.trust)))
+
+
 def to_module(told: Settings) -> api.Settings:
     """What the decision module is told."""
     limits, rules = told.limits, told.rules
@@ -272,7 +375,8 @@
 def changed(old: Settings, new: Settings) -> tuple[list[str], list[str]]:
     """The keys whose values differ: those that a reload takes up, and those that need a restart."""
     keys = sorted(key for key, _ in differences(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
-    live = [key for key in keys if key in taken_up(old, new)]
+    names = taken_up(old, new)
+    live = [key for key in keys if any(key == name or key.startswith(name + ".") for name in names)]
     return live, [key for key in keys if key not in live]
 
 
--- /dev/null
+++ b/tests/membership/test_belief.py
@@ -0,0 +1,175 @@
+"""What to believe of a list: each rule beside its neighbour, and in random walks."""
+
+import math
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from calicomast import interface as api
+from calicomast.membership.belief import Belief, Entry, Trust
+from calicomast.membership.listing import Listing
+
+
+def entry(id, state="up", stamp=0, port=None, started=0.0):
+    return Entry(api.Host(id, "a", 0, 1.0, "", state, started), ("127.0.0.1", port or 1000 + int(id[1:])),
+                 stamp)
+
+
+def entries(count, but=(), state="up"):
+    return [entry(f"h{n}", state) for n in range(count) if n not in but]
+
+
+def states(belief):
+    return {id: k.entry.host.state for id, k in belief.known.items()}
+
+
+@pytest.fixture
+def ten():
+    belief = Belief()
+    belief.hear(0.0, entries(10), whole=True)
+    return belief
+
+
+def test_a_first_list_is_believed_and_told_as_a_change():
+    belief = Belief()
+    changed = belief.hear(0.0, entries(3), whole=True)
+    assert changed.hosts.mode == "delta" and set(changed.addresses) == {"h0", "h1", "h2"}
+    assert belief.hear(1.0, entries(3), whole=True) is None and belief.next() == math.inf
+
+
+def test_what_is_marked_drains_at_once_even_most_of_them(ten):
+    changed = ten.hear(1.0, entries(9, state="leaving") + [entry("h9")], whole=True)
+    assert [h.state for h in changed.hosts.hosts] == ["leaving"] * 9
+
+
+def test_what_was_deleted_by_name_is_gone_at_once(ten):
+    changed = ten.hear(1.0, [], gone={f"h{n}" for n in range(8)})
+    assert len(changed.hosts.hosts) == 8 and {h.state for h in changed.hosts.hosts} == {"down"}
+
+
+def test_a_few_that_are_missing_are_gone_at_once(ten):
+    changed = ten.hear(1.0, entries(7), whole=True)
+    assert {h.id for h in changed.hosts.hosts} == {"h7", "h8", "h9"}
+
+
+def test_most_that_are_missing_are_doubted_until_they_have_been_missing_long_and_twice(ten):
+    assert ten.hear(1.0, entries(5), whole=True) is None
+    assert ten.known["h9"].doubt == "missing"
+    assert ten.tick(40.0) is None  # long enough, but in one list only
+    changed = ten.hear(41.0, entries(5), whole=True)
+    assert {h.id for h in changed.hosts.hosts} == {f"h{n}" for n in range(5, 10)}
+
+
+def test_a_second_look_too_soon_ends_no_doubt_but_its_time_does(ten):
+    ten.hear(1.0, entries(5), whole=True)
+    assert ten.hear(2.0, entries(5), whole=True) is None
+    assert ten.next() == 31.0 and ten.tick(30.9) is None
+    assert len(ten.tick(31.0).hosts.hosts) == 5
+
+
+def test_who_comes_back_is_doubted_no_more(ten):
+    ten.hear(1.0, [], whole=True)
+    ten.hear(2.0, [], whole=True)
+    assert ten.hear(20.0, entries(10), whole=True) is None and ten.next() == math.inf
+    assert not any(k.doubt for k in ten.known.values())
+
+
+def test_a_list_is_never_emptied(ten):
+    for now in range(1, 200):
+        assert ten.hear(float(now), [], whole=True) is None
+    assert len(ten.known) == 10 and ten.next() == math.inf
+    ten.hear(300.0, [entry("h77")], whole=True)  # another is named: the old ones, long missing, may go
+    assert set(states(ten)) == {"h77"}
+
+
+def test_a_host_under_another_id_takes_the_place_of_the_old_one(ten):
+    changed = ten.hear(1.0, [entry(f"h{n + 50}", port=1000 + n) for n in range(10)], whole=True)
+    assert set(states(ten)) == {f"h{n + 50}" for n in range(10)}
+    assert sum(h.state == "down" for h in changed.hosts.hosts) == 10
+
+
+def test_of_two_ids_at_one_address_the_latest_counts():
+    belief = Belief()
+    belief.hear(0.0, [entry("h1", stamp=5, port=7), entry("h2", stamp=9, port=7)], whole=True)
+    assert set(states(belief)) == {"h2"}
+
+
+def test_another_address_under_the_same_id_is_told(ten):
+    changed = ten.hear(1.0, [entry("h1", port=99)])
+    assert changed.addresses == {"h1": ("127.0.0.1", 99)}
+
+
+def test_older_news_may_drain_but_not_bring_back():
+    belief = Belief()
+    belief.hear(0.0, [entry("h1", "leaving", stamp=10)], whole=True)
+    assert belief.hear(1.0, [entry("h1", "up", stamp=5)], whole=True) is None
+    assert belief.known["h1"].doubt == "older news"
+    belief.hear(2.0, [entry("h1", "up", stamp=20)], whole=True)
+    assert states(belief) == {"h1": "up"}
+    belief.hear(3.0, [entry("h1", "leaving", stamp=5)], whole=True)
+    assert states(belief) == {"h1": "leaving"}
+
+
+def test_a_clock_that_went_back_is_believed_in_the_end():
+    belief = Belief()
+    belief.hear(0.0, [entry("h1", "leaving", stamp=10_000)], whole=True)
+    for now in range(1, 31):
+        assert belief.hear(float(now), [entry("h1", "up", stamp=5)], whole=True) is None
+    assert belief.hear(31.0, [entry("h1", "up", stamp=5)], whole=True) is not None
+
+
+def test_a_start_in_the_future_does_not_keep_a_host_cold_for_ever():
+    belief = Belief()
+    belief.hear(100.0, [entry("h1", started=1e9)], whole=True)
+    assert belief.known["h1"].entry.host.started == 100.0
+
+
+def test_a_host_that_flaps_goes_at_once_and_comes_back_when_calm():
+    belief, now = Belief(), 0.0
+    belief.hear(now, [entry("h1")], whole=True)
+    for _ in range(3):
+        now += 1.0
+        assert belief.hear(now, [entry("h1", "leaving")]) is not None
+        now += 1.0
+        back = belief.hear(now, [entry("h1")])
+    assert back is None and belief.known["h1"].doubt == "flapping"
+    assert belief.next() == 5.0 + 10.0 and belief.tick(14.9) is None
+    assert belief.tick(15.0).hosts.hosts[0].state == "up"
+
+
+def test_a_list_from_before_is_believed_until_told_otherwise():
+    belief = Belief()
+    host = api.Host("h1", "a", 0, 1.0, "", "up", 0.0)
+    belief.start(0.0, Listing(api.HostList("cached", 7, (host,)), {"h1": ("127.0.0.1", 1001)}))
+    assert belief.hear(1.0, [entry("h1")], whole=True) is None
+    assert belief.hear(2.0, [entry("h2")], whole=True).hosts.version == 8
+
+
+NEWS = st.lists(st.tuples(st.floats(0.1, 20), st.booleans(),
+                          st.dictionaries(st.integers(0, 5), st.sampled_from(["up", "leaving"]), max_size=6),
+                          st.sets(st.integers(0, 5), max_size=2), st.integers(0, 50)), max_size=40)
+
+
+@seed(1)
+@settings(max_examples=300, deadline=None, database=None)
+@given(NEWS)
+def test_in_any_walk_marks_hold_and_changes_add_up_to_what_is_believed(walk):
+    belief, now, heard = Belief(Trust(doubt_time=15.0)), 100.0, {}
+    for wait, whole, named, gone, stamp in walk:
+        now, had = now + wait, bool(heard)
+        gone = {f"h{n}" for n in gone} - {f"h{n}" for n in named}
+        told = [entry(f"h{n}", state, stamp) for n, state in named.items()]
+        for changed in (belief.tick(now), belief.hear(now, told, gone, whole)):
+            for host in changed.hosts.hosts if changed else ():
+                heard[host.id] = host.state
+                if host.state == "down":
+                    del heard[host.id]
+        assert heard == states(belief)  # who follows the changes believes the same
+        for one in told:  # what is told to drain never stays up
+            if one.host.state == "leaving":
+                assert heard[one.host.id] == "leaving"
+        assert not gone & heard.keys()
+        assert belief.next() > now - 1e-9 or belief.tick(now) is None
+        if had and not gone:
+            assert heard  # what is merely missing never empties a list
