Stand-in registry writes XML as a foreign client reads it

Need: py-eureka-client could not read the stand-in's whole list: XML is a registry's own choice where a caller names no form, and dataCenterInfo carries its class as an attribute.

--- a/calicomast/standins/eureka.py
+++ b/calicomast/standins/eureka.py
@@ -196,7 +196,7 @@
             self.lost -= 1
             instances = []
         tree = self.applications(instances)
-        xml = "xml" in request.headers.get("Accept", "")
+        xml = "json" not in request.headers.get("Accept", "")  # XML is a registry's own choice
         body = self.xml(tree).encode() if xml else json.dumps(tree).encode()
         if self.raw is not None:
             body = self.raw
@@ -270,7 +270,8 @@
             elif isinstance(value, dict):
                 inner = "".join(f"<{k}>{escape(str(v))}</{k}>" for k, v in value.items()
                                 if not k.startswith("@"))
-                yield f"<{name}>{inner}</{name}>"
+                kind = f' class="{escape(str(value["@class"]))}"' if "@class" in value else ""
+                yield f"<{name}{kind}>{inner}</{name}>"
             else:
                 yield f"<{name}>{escape(str(value))}</{name}>"
 
--- a/tests/membership/test_eureka_source.py
+++ b/tests/membership/test_eureka_source.py
@@ -326,5 +326,7 @@
         finally:
             await client.stop()
         assert not registry.leases
-        async with aiohttp.ClientSession() as session, session.get(registry.url + "/apps") as answer:
+        wanted = {"Accept": "application/json"}
+        async with (aiohttp.ClientSession(headers=wanted) as session,
+                    session.get(registry.url + "/apps") as answer):
             assert (await answer.json())["applications"]["application"] == []
