A fleet that has just started as a whole is served by at once; registry faults as tests

Cause: a cold host may get a part of what the gateway sends anyway. Where all hosts are cold, as in a fresh installation whose hosts register with a start just now, that was a part of nothing and stayed nothing for the whole cold time: found by the registry's tests, where traffic got no answer. A cold host now bears at least what one core would, by the usual time of an answer. Registry faults against real gateways: flips, silence past every lease, an empty restart, a host that renews and answers nothing, reload between sources, registering.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -267,6 +267,7 @@
         self.mean = {c.name: min(c.aim / 5, c.deadline) for c in settings.classes.values()}
         self.dev, self.seen = dict(self.mean), dict.fromkeys(self.mean, 0)
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
+        self.usual = max(self.mean.values())  # time of an answer, whatever the class
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
         self.top, self.most = 1.0, 2.0  # largest weight; own attempts out at most
@@ -319,7 +320,10 @@
         if warm == 1.0:
             return True
         # A cold host falls over when all gateways together send more than it bears: credit is saved up.
-        rate = warm * rules.fall_multiple * COLD_PART * self.own_rate(now) / max(1, len(self.up))
+        # Where none is warm, or none has been sent yet, own sends tell too little: then as if it had one
+        # core.
+        alone = 1 / self.usual / self.set.gateways
+        rate = warm * rules.fall_multiple * COLD_PART * max(self.own_rate(now) / max(1, len(self.up)), alone)
         s.credit = min(s.credit + (now - s.credit_at) * rate, max(1.0, rate * rules.fall_time))
         s.credit_at = now
         return s.credit >= 1.0
@@ -382,6 +386,7 @@
             self.pressure, self.answer_at = self.pressure + min(gain, 0.5) * (high - self.pressure), now
         if event.result != "ok" or cls is None:
             return
+        self.usual += QUICK * (max(event.elapsed, 1e-4) - self.usual)
         s.ratio += QUICK * (min(event.elapsed / max(self.mean[cls.name], 1e-6), 10.0) - s.ratio)
         self.seen[cls.name] += 1
         gain, off = max(1 / self.seen[cls.name], GAIN), event.elapsed - self.mean[cls.name]
--- /dev/null
+++ b/tests/faults/test_registry.py
@@ -0,0 +1,236 @@
+"""Gateways whose hosts come from a registry that fails, lies and flips, judged by the ledger."""
+
+import asyncio
+import json
+import random
+import signal
+import subprocess
+import sys
+
+import pytest
+from netkit import command, on_loop, read_reply
+from rig import PROGRAM, ROOT, TERMS, Load, Site
+
+from calicomast.standins.eureka import StandInEureka, instance
+from calicomast.standins.ledger import Ledger
+from calicomast.standins.script import Step
+
+
+class RegistrySite(Site):
+    """A site whose gateway asks a stand-in registry, ten times a second."""
+
+    def __init__(self, path, hosts=3, ledger=None, register="", **kw):
+        super().__init__(path, hosts, ledger=ledger, **kw)
+        self.registry, self.register = StandInEureka(gateway="g", ledger=ledger), register
+
+    async def __aenter__(self):
+        await self.registry.__aenter__()
+        return await super().__aenter__()
+
+    def list_hosts(self, *states):
+        super().list_hosts(*states)
+        for host in self.hosts:
+            self.registry.register(self.instance(host))
+
+    @staticmethod
+    def instance(host, **kw):
+        return instance(host.name, host.port, **kw)
+
+    def write(self, ports=None, **tables):
+        # Registered just now they count as just started: these tests are not about that.
+        mine = {"hosts": 'source = "eureka"', "rules": "cold_time = 0.0", "register": self.register,
+                "eureka": f'urls = ["{self.registry.url}"]\npoll = 0.1\ntimeout = 0.5\nname = "roster"'}
+        super().write(ports, **{k: "\n".join(filter(None, [mine.get(k), tables.get(k)]))
+                                for k in mine | tables})
+
+    async def __aexit__(self, *_):
+        await super().__aexit__()
+        await self.registry.__aexit__()
+
+
+async def polled(site, count=2):
+    """Until the gateway has asked so often from now on."""
+    while not site.registry.asked.empty():
+        site.registry.asked.get_nowait()
+    for _ in range(count):
+        await site.registry.asked.get()
+
+
+@on_loop
+async def test_flips_under_load_keep_the_cutoff(tmp_path):
+    ledger, rng = Ledger(TERMS), random.Random(7)
+    async with RegistrySite(tmp_path, hosts=4, ledger=ledger) as site:
+        site.write(trust="calm_time = 0.0")
+        await site.start()
+        async with Load(site, ledger) as load:
+            for _ in range(40):
+                host = rng.choice(site.hosts[1:])  # one stays up, so that all is served
+                site.registry.override("ROSTER", host.name, rng.choice(["OUT_OF_SERVICE", "DOWN", ""]))
+                await polled(site, rng.choice([0, 1, 2]))
+            await load.served(20)
+        tellings = [state for told in ledger.tellings.values() for _, state in told]
+        assert tellings.count("draining") >= 5 and tellings.count("up") >= 5
+
+
+@on_loop
+async def test_a_flip_within_one_poll_and_one_while_an_attempt_is_out(tmp_path):
+    ledger = Ledger(TERMS)
+    async with RegistrySite(tmp_path, hosts=2, ledger=ledger) as site:
+        await site.start()
+        first = site.hosts[0]
+        async with Load(site, ledger) as load:
+            site.registry.override("ROSTER", first.name, "OUT_OF_SERVICE")
+            site.registry.override("ROSTER", first.name, "")
+            await polled(site)
+            before = len(first.commands)
+            while len(first.commands) == before:  # it is used on
+                await load.served(1)
+            first.script.play(Step("stall", count=1, delay=0.3))
+            while first.script.steps and not first.script.used:
+                await load.served(1)
+            site.registry.override("ROSTER", first.name, "OUT_OF_SERVICE")  # with an attempt out there
+            await polled(site, 3)
+            before = len(first.commands)
+            await load.served(50)
+            assert len(first.commands) == before
+
+
+@on_loop
+async def test_a_registry_that_is_silent_for_longer_than_every_lease(tmp_path):
+    ledger = Ledger(TERMS)
+    async with RegistrySite(tmp_path, hosts=3, ledger=ledger) as site:
+        third = site.hosts[2]
+        site.registry.cancel("ROSTER", third.name)
+        program = await site.start()
+        async with Load(site, ledger) as load:
+            site.registry.script.play(Step("silent"))
+            await site.line(program, b"the last list stays")
+            site.registry.clock_off = 1000.0  # all leases have run out
+            await load.served(50)
+            assert all(len(h.commands) > 0 for h in site.hosts[:2]) and not third.commands
+            site.registry.restart()
+            for host in (site.hosts[0], third):
+                site.registry.register(site.instance(host))
+            site.registry.script.play()
+            while not third.commands:  # followed at once
+                await load.served(1)
+
+
+@pytest.mark.parametrize("left", [0, 1])
+@on_loop
+async def test_a_registry_that_comes_back_empty_or_with_half_serves_on(left, tmp_path):
+    ledger = Ledger(TERMS)
+    async with RegistrySite(tmp_path, hosts=4, ledger=ledger) as site:
+        site.write(eureka="delta = false")
+        await site.start()
+        async with Load(site, ledger) as load:
+            site.registry.restart()
+            for host in site.hosts[:left]:
+                site.registry.register(site.instance(host))
+            await polled(site, 3)
+            before = [len(h.commands) for h in site.hosts]
+            await load.served(100)
+            assert all(len(h.commands) > was for h, was in zip(site.hosts, before, strict=True))
+
+
+@on_loop
+async def test_a_host_that_renews_and_answers_nothing_is_gone_round_and_used_again(tmp_path):
+    ledger = Ledger(TERMS)
+    async with RegistrySite(tmp_path, hosts=3, ledger=ledger) as site:
+        await site.start()
+        sick = site.hosts[0]
+        async with Load(site, ledger) as load:
+            sick.script.play(Step("silent"))
+            await load.served(100)
+            before, was = len(sick.commands), len(load.traffic.latency)
+            await load.served(200)
+            tried = len(sick.commands) - before
+            assert tried < (len(load.traffic.latency) - was) / 6  # a third, if nobody minded
+            sick.script.play()
+            before = len(sick.commands)
+            while len(sick.commands) < before + 10:
+                await load.served(1)
+
+
+@on_loop
+async def test_a_reload_goes_from_a_file_to_a_registry_and_back_in_traffic(tmp_path):
+    ledger = Ledger(TERMS)
+    async with RegistrySite(tmp_path, hosts=3, ledger=ledger) as site:
+        Site.write(site)  # the file, which names all three
+        program = await site.start()
+        async with Load(site, ledger) as load:
+            kept = site.hosts[0]
+            for host in site.hosts[1:2]:
+                site.registry.cancel("ROSTER", host.name)
+            site.write()
+            program.send_signal(signal.SIGHUP)
+            assert b"hosts.source" in await site.line(program, b"reload: took effect")
+            await polled(site, 3)
+            gone, connections = len(site.hosts[1].commands), len(kept.writers)
+            await load.served(100)
+            assert len(site.hosts[1].commands) == gone  # one of three is missing: believed at once
+            Site.write(site)
+            program.send_signal(signal.SIGHUP)
+            await site.line(program, b"reload: took effect")
+            while len(site.hosts[1].commands) == gone:
+                await load.served(1)
+            assert connections > 0 and kept.connections > 0
+
+
+@on_loop
+async def test_the_gateway_is_an_instance_itself_and_never_routes_to_itself(tmp_path):
+    register = 'on = true\nip = "127.0.0.1"\nid = "gw"\napp = "ROSTER"\nrenew = 0.2\nduration = 5.0'
+    async with RegistrySite(tmp_path, hosts=1, register=register) as site:
+        site.hosts[0].script.play(Step("stall", delay=0.3))
+        program = await site.start()
+        key = ("ROSTER", "gw")
+        while key not in site.registry.leases or site.registry.leases[key].status != "UP":
+            await site.registry.asked.get()
+        await polled(site, 3)
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(command())
+        while not site.hosts[0].commands:
+            await site.hosts[0].arrived.get()
+        seen = []
+        real = site.registry.register
+
+        def register_down(told, replicated=False):
+            seen.append((told["status"], told["instanceId"]))
+            real(told, replicated)
+
+        site.registry.register = register_down
+        program.send_signal(signal.SIGTERM)
+        assert (await read_reply(reader)).startswith(b"$")
+        assert await program.wait() == 0
+        assert ("DOWN", "gw") in seen and key not in site.registry.leases
+        writer.close()
+
+
+@on_loop
+async def test_what_a_gateway_believes_can_be_asked(tmp_path):
+    async with RegistrySite(tmp_path, hosts=2) as site:
+        site.registry.override("ROSTER", "h1", "OUT_OF_SERVICE")
+        await site.start()
+
+        async def run(*arguments):
+            program = await asyncio.create_subprocess_exec(
+                *PROGRAM, "hosts", str(site.file), *arguments, cwd=ROOT, stdout=subprocess.PIPE)
+            out, _ = await program.communicate()
+            return program.returncode, out.decode()
+
+        for arguments in ((), ("--registry",)):
+            code, text = await run(*arguments)
+            assert code == 0 and "2 hosts" in text and "draining" in text and site.registry.url in text
+        code, text = await run("--json")
+        told = json.loads(text)
+        assert {h["id"]: h["state"] for h in told["hosts"]} == {"h0": "up",
+                                                                "h1": "draining"} and told["age"] < 60
+
+
+@on_loop
+async def test_the_platforms_program_loads_no_registry():
+    code = ("import sys, calicomast.daemon.platform; "
+            "print([m for m in sys.modules if 'eureka' in m or 'belief' in m or 'defusedxml' in m])")
+    program = await asyncio.create_subprocess_exec(sys.executable, "-c", code, cwd=ROOT,
+                                                   stdout=subprocess.PIPE)
+    assert (await program.communicate())[0] == b"[]\n"
