One judge for all sources whose lists may lie; a belief goes on through a reload

Need: what to believe of a list is to be shared by all sources. membership/judge.py holds a belief at work for the registry and, in our own installations, for discovery (the platform's program goes on to take its agent at its word, the file is an operator's word). A reload keeps doubts and age.

--- a/calicomast/cli/check.py
+++ b/calicomast/cli/check.py
@@ -18,7 +18,8 @@
         return UNUSABLE
     settings = config.settings
     listeners = ", ".join(write_address(address) for address in (config.listen, *config.more))
-    hosts = f"{len(config.known.hosts.hosts)} hosts" if config.hosts_file else "hosts by discovery"
+    source = "discovery" if config.discovery else "a registry"
+    hosts = f"{len(config.known.hosts.hosts)} hosts" if config.hosts_file else f"hosts by {source}"
     print(f"{path}: good; gateway {settings.index} of {settings.gateways} at {listeners}, "
           f"classes {', '.join(settings.classes)}, plans {', '.join(settings.plans)}, {hosts}")
     return OK
--- a/calicomast/daemon/config.py
+++ b/calicomast/daemon/config.py
@@ -14,6 +14,7 @@
 from calicomast.settings import read_settings, seconds
 
 if TYPE_CHECKING:
+    from calicomast.membership.belief import Trust
     from calicomast.membership.eureka.registration import Own
     from calicomast.membership.eureka.source import Registry
 
@@ -39,6 +40,7 @@
     more: tuple[Address, ...] = ()  # further listeners
     hosts_file: str | None = None  # in place of a discovery
     registry: Registry | None = None  # likewise
+    trust: Trust | None = None  # what of a discovery's lists is believed; None: all
     own: Own | None = None  # how this gateway registers itself
     linger: float = 0.5  # s after SIGTERM in which connections still come
     finish: float = 3.4  # s after SIGTERM by which everything is answered: the platform's SIGKILL is not far
--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -6,9 +6,9 @@
 import logging
 import socket
 import time
-from collections.abc import Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from calicomast import interface as api
 from calicomast.core.life import Clock, Core
@@ -21,6 +21,9 @@
 from calicomast.net.hosts import Hosts
 from calicomast.policy import Gateway
 
+if TYPE_CHECKING:
+    from calicomast.membership.judge import Judge
+
 OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 READ = 0.005  # s for the loop to read what lay in the sockets when the connections were told to end
@@ -83,6 +86,7 @@
             from calicomast.membership.file import HostsInFile  # the platform's `run` does without
 
             return HostsInFile(config.hosts_file, self.listed, self.core.list_failed)
+        belief = getattr(getattr(self, "discovery", None), "belief", None)  # goes on, with its doubts and age
         if config.discovery is None:
             from calicomast.membership.eureka.source import EurekaSource, resolve
 
@@ -93,7 +97,12 @@
             by_name = resolve if config.registry.terms.address == "name" else None
             return EurekaSource(config.registry, self.listing, self.listed, self.core.list_failed, own,
                                 by_name,
-                                self.core.clock)
+                                self.core.clock, belief=belief)
+        if config.trust is not None:
+            from calicomast.membership.judge import Judge
+
+            judge = Judge(config.trust, self.listing, self.listed, self.core.clock, belief)
+            return JudgedDiscovery(config.discovery, version, judge, self.core.list_failed)
         return Discovery(config.discovery, version, self.listed, self.core.list_failed)
 
     def listed(self, listing: Listing) -> None:
@@ -239,6 +248,18 @@
         await asyncio.gather(*self.endings, return_exceptions=True)
 
 
+class JudgedDiscovery(Discovery):
+    """Discovery whose lists are not taken at their word: not on the platform, whose agents do not lie."""
+
+    def __init__(self, address: Address, version: int, judge: Judge, failed: Callable[[], None]) -> None:
+        super().__init__(address, version, judge.hear_listing, failed)
+        self.judge, self.belief = judge, judge.belief
+
+    async def close(self) -> None:
+        self.judge.close()
+        await super().close()
+
+
 def described(host: api.Host, address: Address | None, doubt: str = "",
               since: float | None = None) -> dict[str, Any]:
     return {"id": host.id, "address": write_address(address) if address else "", "zone": host.zone,
--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -226,7 +226,7 @@
         if not os.environ.get("RELAY_CONFIG"):
             config = replace(self.config, more=config.more, listen=config.listen,
                              hosts_file=config.hosts_file,
-                             discovery=config.discovery, registry=config.registry,
+                             discovery=config.discovery, registry=config.registry, trust=config.trust,
                              counter=config.counter if self.config.counter else None,
                              max_open=config.max_open, linger=config.linger, finish=config.finish)
         addresses = [config.listen, *config.more]
@@ -271,8 +271,8 @@
     def source(self, config: Config) -> Source | None:
         """Where the list comes from now on, if from elsewhere."""
         old = self.config
-        same = (config.hosts_file, config.discovery, config.registry) == (
-            old.hosts_file, old.discovery, old.registry)
+        same = (config.hosts_file, config.discovery, config.registry, config.trust) == (
+            old.hosts_file, old.discovery, old.registry, old.trust)
         beside = bool(os.environ.get("RELAY_CONFIG"))
         return None if same or beside else self.node.source(config, self.node.discovery.version)
 
--- a/calicomast/daemon/settings.py
+++ b/calicomast/daemon/settings.py
@@ -17,6 +17,7 @@
 from calicomast import interface as api
 from calicomast.checked import Faulty, Path, Reader, read_toml
 from calicomast.daemon.config import Config
+from calicomast.membership.belief import Trust
 from calicomast.membership.file import read_hosts
 from calicomast.membership.listing import Listing
 from calicomast.net.address import Address, read_address
@@ -320,7 +321,7 @@
                   port,
                   part.vip, part.renew, part.duration, part.metadata)
     return Config(
-        registry=registry, own=own,
+        registry=registry, own=own, trust=Trust(**msgspec.to_builtins(told.trust)),
         name=told.gateway.name, listen=listeners[0], more=tuple(listeners[1:]),
         discovery=read_address(told.hosts.discovery) if told.hosts.source == "discovery" else None,
         hosts_file=file, counter=read_address(told.counter.address) if told.counter.address else None,
@@ -334,7 +335,6 @@
 def to_registry(told: Settings) -> Registry | None:
     if told.hosts.source != "eureka" and not told.register.on:
         return None
-    from calicomast.membership.belief import Trust
     from calicomast.membership.eureka.mapping import Terms
     from calicomast.membership.eureka.source import Registry
 
--- a/calicomast/membership/eureka/source.py
+++ b/calicomast/membership/eureka/source.py
@@ -16,6 +16,7 @@
 from calicomast.membership.eureka.mapping import Terms, read_entries
 from calicomast.membership.eureka.model import Answer, Instance, Odd, read_json, read_xml
 from calicomast.membership.eureka.replica import Replica
+from calicomast.membership.judge import Judge
 from calicomast.membership.listing import Listing
 from calicomast.net.address import Address
 
@@ -59,18 +60,18 @@
 
     def __init__(self, registry: Registry, known: Listing, told: Callable[[Listing], None],
                  failed: Callable[[], None], own: Collection[Address] = (), resolve: Resolve | None = None,
-                 clock: Callable[[], float] = time.time, seed: int | None = None) -> None:
-        self.registry, self.told, self.failed, self.own, self.clock = registry, told, failed, set(own), clock
+                 clock: Callable[[], float] = time.time, seed: int | None = None,
+                 belief: Belief | None = None) -> None:
+        self.registry, self.failed, self.own, self.clock = registry, failed, set(own), clock
         self.resolve, self.rng = resolve, random.Random(seed)
-        self.belief, self.replica = Belief(registry.trust), Replica()
-        self.belief.start(clock(), known)
+        self.judge, self.replica = Judge(registry.trust, known, told, clock, belief), Replica()
+        self.belief = self.judge.belief
         self.at = 0  # which registry is asked
         self.fails = 0  # polls in a row
         self.etag: dict[str, str] = {}
         self.names: dict[str, str] = {}  # host names that were resolved
         self.session: aiohttp.ClientSession | None = None
         self.watcher: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[bool]] = set()
         self.odd: tuple[str, ...] = ()  # what could not be read in the last answer
 
@@ -100,8 +101,7 @@
         self.watch(False)
         for task in self.tasks:
             task.cancel()
-        if self.timer is not None:
-            self.timer.cancel()
+        self.judge.close()
         if self.session is not None:
             await self.session.close()
 
@@ -205,7 +205,7 @@
         entries = [entry for entry in entries if entry.address not in self.own]
         gone = deleted | {e.host.id for e in entries if e.host.state == "down"}
         entries = [entry for entry in entries if entry.host.state != "down"]
-        self.tell(self.belief.hear(self.clock(), entries, gone, whole))
+        self.judge.hear(entries, gone, whole)
 
     def wanted(self, instance: Instance) -> bool:
         name = self.registry.name.upper()
@@ -221,19 +221,6 @@
             except OSError as err:
                 log.warning("registry %s: %s cannot be looked up (%s)", self.url, name[:80], err)
 
-    def tell(self, changed: Listing | None) -> None:
-        if changed is not None:
-            self.told(changed)
-        if self.timer is not None:
-            self.timer.cancel()
-        due = self.belief.next()
-        if due < float("inf"):
-            delay = max(0.01, due - self.clock())
-            self.timer = asyncio.get_running_loop().call_later(delay, self.tick)
-
-    def tick(self) -> None:
-        self.tell(self.belief.tick(self.clock()))
-
 
 async def resolve(name: str) -> str:
     """By the system's resolver. Raises OSError."""
--- a/tests/membership/test_eureka_source.py
+++ b/tests/membership/test_eureka_source.py
@@ -3,11 +3,10 @@
 import asyncio
 import base64
 import json
+import sys
 
-import aiohttp
 import pytest
 from netkit import on_loop
-from py_eureka_client import eureka_basic, eureka_client
 
 from calicomast import interface as api
 from calicomast.membership.belief import Trust
@@ -306,27 +305,40 @@
     await own.leave()
 
 
+FOREIGN = """
+import asyncio, os, sys
+from py_eureka_client import eureka_basic, eureka_client
+url = sys.argv[1]
+async def main():
+    client = eureka_client.EurekaClient(
+        eureka_server=url, app_name="roster", instance_port=8123, instance_ip="127.0.0.1",
+        instance_host="node7.rota.example.org", instance_id="node7:8123", renewal_interval_in_secs=1,
+        duration_in_secs=30, metadata={"zone": "east"}, should_discover=False)
+    await client.start()
+    read = await eureka_basic.get_applications(url)
+    print(read.get_application("ROSTER").get_instance("node7:8123").port.port, flush=True)
+    await asyncio.to_thread(sys.stdin.readline)
+    await client.stop()
+asyncio.run(main())
+print("gone", flush=True)
+os._exit(0)  # its threads go on otherwise
+"""
+
+
 @on_loop
 async def test_a_foreign_client_registers_renews_and_reads_at_the_stand_in():
     """py-eureka-client, which others wrote: the stand-in speaks the protocol, and our source reads what it
     wrote."""
     async with StandInEureka(base="/eureka") as registry, Watched(registry) as seen:
-        client = eureka_client.EurekaClient(
-            eureka_server=registry.url, app_name="roster", instance_port=8123, instance_ip="127.0.0.1",
-            instance_host="node7.rota.example.org", instance_id="node7:8123", renewal_interval_in_secs=1,
-            duration_in_secs=30, metadata={"zone": "east"})
-        await client.start()
-        try:
-            assert await seen.poll() and seen.states() == {"node7:8123": "up"}
-            assert seen.hosts["node7:8123"].zone == "east"
-            while not registry.calls["PUT apps"]:
-                await asyncio.sleep(0.01)
-            read = await eureka_basic.get_applications(registry.url)
-            assert read.get_application("ROSTER").get_instance("node7:8123").port.port == 8123
-        finally:
-            await client.stop()
-        assert not registry.leases
-        wanted = {"Accept": "application/json"}
-        async with (aiohttp.ClientSession(headers=wanted) as session,
-                    session.get(registry.url + "/apps") as answer):
-            assert (await answer.json())["applications"]["application"] == []
+        pipe = asyncio.subprocess.PIPE
+        foreign = await asyncio.create_subprocess_exec(sys.executable, "-c", FOREIGN, registry.url,
+                                                       stdin=pipe,
+                                                       stdout=pipe, stderr=asyncio.subprocess.DEVNULL)
+        assert await foreign.stdout.readline() == b"8123\n"
+        assert await seen.poll() and seen.states() == {"node7:8123": "up"}
+        assert seen.hosts["node7:8123"].zone == "east"
+        while not registry.calls["PUT apps"]:
+            await asyncio.sleep(0.01)
+        foreign.stdin.write(b"\n")
+        assert await foreign.stdout.readline() == b"gone\n"
+        assert not registry.leases and await foreign.wait() == 0
--- /dev/null
+++ b/tests/membership/test_judge.py
@@ -0,0 +1,57 @@
+"""Sources that share the judge: the platform's discovery in our own installations, and a belief that goes
+on."""
+
+from netkit import command, on_loop
+from rig import Site
+
+from calicomast import interface as api
+from calicomast.membership.belief import Entry, Trust
+from calicomast.membership.judge import Judge
+from calicomast.membership.listing import Listing, read_list
+from calicomast.standins.discovery import StandInDiscovery
+
+NOTHING = Listing(api.HostList("cached", 0, ()), {})
+
+
+def listing(*ids, full=True, state="up"):
+    return read_list({"version": 1, "full": full, "servers": [
+        {"id": id, "addr": f"127.0.0.1:{n + 1}", "state": state} for n, id in enumerate(ids)]})
+
+
+@on_loop
+async def test_a_discovery_that_comes_back_empty_is_doubted_and_marks_count_at_once():
+    told = []
+    judge = Judge(Trust(), NOTHING, told.append, lambda: 100.0)
+    judge.hear_listing(listing("a", "b", "c"))
+    judge.hear_listing(listing())
+    assert len(told) == 1 and set(judge.belief.known) == {"a", "b", "c"}
+    judge.hear_listing(listing("a", full=False, state="removed"))
+    assert [h.state for h in told[-1].hosts.hosts] == ["down"] and set(judge.belief.known) == {"b", "c"}
+
+
+@on_loop
+async def test_a_belief_goes_on_with_its_doubts_and_its_age():
+    first = Judge(Trust(), NOTHING, lambda _: None, lambda: 100.0)
+    first.hear([Entry(api.Host(f"h{n}", "a", 0, 1.0, "", "up", 0.0), ("127.0.0.1", n)) for n in range(4)],
+               whole=True)
+    first.hear([], whole=True)
+    second = Judge(Trust(doubt_time=5.0), NOTHING, lambda _: None, lambda: 200.0, first.belief)
+    assert second.belief.heard_at == 100.0 and {k.doubt for k in second.belief.known.values()} == {"missing"}
+    first.close()
+
+
+@on_loop
+async def test_a_gateway_of_ours_serves_through_an_empty_discovery(tmp_path):
+    async with Site(tmp_path, hosts=2) as site, StandInDiscovery() as discovery:
+        discovery.servers = [h.entry() for h in site.hosts]
+        site.write(hosts=f'source = "discovery"\ndiscovery = "127.0.0.1:{discovery.port}"')
+        program = await site.start()
+        discovery.raw = "{"  # the watch fails, and the whole list is asked for
+        discovery.change([])
+        discovery.servers = []
+        await site.line(program, b"the last list stays")
+        while "index" not in await discovery.calls.get():
+            pass  # it has read the empty list once it watches again
+        for n in range(20):
+            assert (await site.ask(command(b"r%d" % n))).startswith(b"$")
+        assert sum(len(h.commands) for h in site.hosts) == 20
