--- a/calicomast/standins/eureka.py
+++ b/calicomast/standins/eureka.py
@@ -61,6 +61,7 @@
         self.auth: str | None = None  # value of Authorization that is wanted
         self.calls: Counter[str] = Counter()  # by method and kind of path
         self.asked: asyncio.Queue[str] = asyncio.Queue()
+        self.ending = asyncio.Event()
         self.port = 0
 
     def now(self) -> float:
@@ -186,7 +187,8 @@
         self.expire()
         step = self.script.next(time.monotonic())
         if step.kind == "silent":
-            await asyncio.Event().wait()
+            await self.ending.wait()
+            return web.Response(status=503)
         if step.kind == "error":
             return web.Response(status=500)
         if step.kind in ("stall", "slow"):
@@ -208,7 +210,8 @@
             body = self.raw
         if step.kind == "spoilt":
             body = b"{what"
-        self.tell_ledger(instances, asked_by(request) or self.gateway)
+        if step.kind not in ("half", "spoilt") and self.raw is None:  # else nothing was told whole
+            self.tell_ledger(instances, asked_by(request) or self.gateway)
         return await self.send(request, body, xml, kind, step.kind == "half")
 
     async def send(self, request: web.Request, body: bytes, xml: bool, kind: str,
@@ -317,6 +320,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        self.ending.set()
         await self.runner.cleanup()
 
 
--- a/tests/faults/test_registry.py
+++ b/tests/faults/test_registry.py
@@ -234,3 +234,32 @@
     program = await asyncio.create_subprocess_exec(sys.executable, "-c", code, cwd=ROOT,
                                                    stdout=subprocess.PIPE)
     assert (await program.communicate())[0] == b"[]\n"
+
+
+@on_loop
+async def test_a_walk_of_faults_keeps_the_rules(tmp_path):
+    ledger, rng = Ledger(TERMS), random.Random(5)
+    async with RegistrySite(tmp_path, hosts=3, ledger=ledger) as site:
+        site.write(trust="calm_time = 0.0")
+        await site.start()
+        held = site.registry
+        async with Load(site, ledger, rate=80.0) as load:
+            for _ in range(25):
+                what = rng.choice(["error", "half", "spoilt", "restart", "hash", "lost", "clock", "flip", "fill"])
+                if what in ("error", "half", "spoilt"):
+                    held.script.play(Step(what, count=rng.randint(1, 3)))
+                elif what == "restart":
+                    held.restart()
+                elif what == "hash":
+                    held.hashcode = rng.choice([None, "UP_99_"])
+                elif what == "lost":
+                    held.lost = rng.randint(1, 3)
+                elif what == "clock":
+                    held.clock_off = rng.uniform(-100.0, 100.0)
+                elif what == "flip":
+                    host = rng.choice(site.hosts[1:])
+                    held.override("ROSTER", host.name, rng.choice(["OUT_OF_SERVICE", "DOWN", ""]))
+                else:
+                    for host in site.hosts:
+                        held.register(site.instance(host))
+                await load.served(rng.randint(1, 15))
