A stop told while it begins to serve finishes what was taken; serve beside RELAY_CONFIG tested

Need: without a state folder, a SIGTERM between opening the listeners and waiting for it ended the process without its stop. start() now says whether it serves. The old process of a hand-over stops renewing its registration. serve beside the platform's configuration has a test: a further listener, a reload, a hand-over, what may not stand there.

--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -86,16 +86,15 @@
             self.loop.add_signal_handler(number, self.told.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.hup)
         try:
-            await self.start(take_over)
-            if self.told.is_set() and self.keeper is None:
-                return OK  # told to stop before it served
-            await self.told.wait()
-            await self.stop()
+            if await self.start(take_over):  # else it was told to stop before it served
+                await self.told.wait()
+                await self.stop()
         finally:
             self.close()
         return OK
 
-    async def start(self, take_over: bool) -> None:
+    async def start(self, take_over: bool) -> bool:
+        """Whether it serves; False: it was told to stop before."""
         state, wanted = self.settings.daemon.state, (self.config.listen, *self.config.more)
         self.sockets = named(passed(), wanted)
         if take_over:
@@ -115,7 +114,7 @@
                                              registry.timeout)
             self.registration.start()
         if not await self.able(self.settings.daemon.handover_wait if take_over else None):
-            return
+            return False
         if self.heir is not None:
             known = await self.heir.ready()
             self.node.begin(read_list(known, "cached"))
@@ -138,6 +137,7 @@
         for front in self.node.fronts:
             log.info("%s listens on %s", self.config.name, write_address((front.address[0], front.port)))
         self.notifier.ready(f"serving as {self.config.name}", main=take_over)
+        return True
 
     async def inherit(self, state: str) -> dict[Address, socket.socket]:
         if not state:
@@ -285,6 +285,8 @@
             await asyncio.gather(self.reloading, return_exceptions=True)
         if self.handed_over:  # another accepts what still comes, and holds the registration under the same id
             await self.node.stop(0.0)
+            if self.registration is not None:
+                await self.registration.end()
             return
         if self.registration is not None:
             await self.registration.down()
--- a/calicomast/membership/eureka/registration.py
+++ b/calicomast/membership/eureka/registration.py
@@ -116,14 +116,22 @@
 
     async def leave(self) -> None:
         await self.last("DELETE", f"apps/{self.own.app.upper()}/{self.own.id}")
+        await self.end()
+
+    async def end(self) -> None:
+        """Tells nothing more: another holds the registration, or it is over."""
+        await self.halt()
         if self.session is not None:
             await self.session.close()
 
-    async def last(self, method: str, path: str, body: object = None) -> None:
+    async def halt(self) -> None:
         if self.task is not None:
             self.task.cancel()
             await asyncio.gather(self.task, return_exceptions=True)
             self.task = None
+
+    async def last(self, method: str, path: str, body: object = None) -> None:
+        await self.halt()
         try:
             await self.call(method, path, body, ENDING)
         except Exception as err:
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -1,13 +1,14 @@
 """The service manager's side: what it is told, and the sockets that it passes."""
 
 import asyncio
+import json
 import os
 import signal
 import socket
 import sys
 
 import pytest
-from netkit import command, on_loop
+from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, told
 from rig import PROGRAM, ROOT, Site, free_port
 
 from calicomast.daemon.lock import Lock, Locked
@@ -140,3 +141,29 @@
     assert quiet.socket is None and quiet.period == 0.0
     assert Notifier({"WATCHDOG_USEC": "1000000", "WATCHDOG_PID": "1"}).period == 0.0
     assert Notifier({"WATCHDOG_USEC": "1000000", "WATCHDOG_PID": str(os.getpid())}).period == 0.5
+
+
+@on_loop
+async def test_beside_the_platforms_configuration_it_adds_a_listener_and_a_hand_over(tmp_path):
+    async with (StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery,
+                Site(tmp_path) as site):
+        discovery.servers = [entry(host)]
+        first, second = free_port(), free_port()
+        config = told([entry(host)], discovery.port, counter.port) | {"listen": f"127.0.0.1:{first}"}
+        (tmp_path / "config.json").write_text(json.dumps(config))
+        env = {"RELAY_CONFIG": str(tmp_path / "config.json")}
+        site.file.write_text(f'[[listeners]]\naddress = "127.0.0.1:{second}"\n'
+                             f'[daemon]\nstate = "{tmp_path / "state"}"\nlog_lines = 1000\n')
+        old = await site.start(env=env)
+        for n, port in enumerate((first, second)):
+            assert await site.ask(command(b"a%d" % n), port) == SERVED
+        site.file.write_text(site.file.read_text().replace("1000", "2000"))
+        old.send_signal(signal.SIGHUP)
+        assert b"took effect: daemon.log_lines" in await site.line(old, b"reload: ")
+        await site.start("--take-over", env=env)
+        assert await old.wait() == 0
+        for n, port in enumerate((first, second)):
+            assert await site.ask(command(b"b%d" % n), port) == SERVED
+        site.file.write_text("[plans.p]\nrate = 1.0\nburst = 1.0\n")
+        bad = await site.start(env=env, ready=False)
+        assert await bad.wait() == 2 and b"is told by RELAY_CONFIG" in await bad.stderr.read()
--- a/tests/faults/test_registry.py
+++ b/tests/faults/test_registry.py
@@ -245,7 +245,8 @@
         held = site.registry
         async with Load(site, ledger, rate=80.0) as load:
             for _ in range(25):
-                what = rng.choice(["error", "half", "spoilt", "restart", "hash", "lost", "clock", "flip", "fill"])
+                what = rng.choice(["error", "half", "spoilt", "restart", "hash", "lost", "clock", "flip",
+                                   "fill"])
                 if what in ("error", "half", "spoilt"):
                     held.script.play(Step(what, count=rng.randint(1, 3)))
                 elif what == "restart":
