--- a/calicomast/membership/belief.py
+++ b/calicomast/membership/belief.py
@@ -62,6 +62,7 @@
     entry: Entry  # as it is believed
     told: Entry  # as it was last told
     since: float  # of its state
+    start: float = 0.0  # when it started, as it was told
     missing_since: float = math.inf
     looks: int = 0  # lists that it was missing in
     older_since: float = math.inf  # older news that contradicts what is believed
@@ -150,16 +151,19 @@
         self.doubted.discard(id)
 
     def told(self, now: float, entry: Entry) -> None:
-        id = entry.host.id
-        if entry.host.started > now:  # a clock that is ahead would keep it cold for ever
-            entry = replace(entry, host=replace(entry.host, started=now))
+        id, start = entry.host.id, entry.host.started
         known = self.known.get(id)
+        # a clock that is ahead would keep it cold for ever: it started when this was first told
+        if start > now:
+            seen = known.told.host.started if known is not None and known.start == start else now
+            entry = replace(entry, host=replace(entry.host, started=seen))
         if known is not None and known.told == entry and id not in self.doubted:
             return
         self.touch(id)
         if known is None:
-            self.known[id] = Known(entry, entry, now)
+            self.known[id] = Known(entry, entry, now, start)
             return
+        known.start = start
         known.missing_since, known.looks = math.inf, 0
         worse = RANK[entry.host.state] > RANK[known.entry.host.state]
         older = 0 < entry.stamp < known.told.stamp and not worse and not same(entry, known.entry)
--- a/calicomast/standins/fleet.py
+++ b/calicomast/standins/fleet.py
@@ -20,6 +20,7 @@
 from calicomast.standins.hosts import Command, StandInHost, fields
 from calicomast.standins.ledger import Ceiling, Kind, Ledger, Terms
 
+UNKNOWN_WORK = 0.05  # s of a request whose class the shape does not know
 READY_WAIT = 20.0  # s for a gateway to say that it listens
 
 
@@ -177,7 +178,9 @@
         self.gateways = [Gateway(self, n) for n in range(shape.gateways)]
 
     def work(self, command: Command) -> float:
-        return self.shape.classes[fields(command)["c"]].work
+        """Seconds; a class that the shape does not know is somebody's who tries by hand."""
+        kind = self.shape.classes.get(fields(command).get("c", ""))
+        return kind.work if kind is not None else UNKNOWN_WORK
 
     def tell(self, *changed: tuple[StandInHost, str]) -> None:
         """Discovery tells all gateways of hosts that are now up, draining or removed."""
--- a/calicomast/standins/ledger.py
+++ b/calicomast/standins/ledger.py
@@ -30,6 +30,9 @@
     memory: float = 0.0
 
 
+UNKNOWN = Kind("unsafe")  # a class that the terms do not name is judged by the strictest
+
+
 @dataclass(frozen=True, slots=True)
 class Ceiling:
     rate: float  # units a second
@@ -194,7 +197,7 @@
     def twice(self, by_id: dict[str, list[Attempt]]) -> tuple[int, list[str]]:
         bad = []
         for id, tries in by_id.items():
-            kind = self.terms.kinds[tries[0].cls]
+            kind = self.terms.kinds.get(tries[0].cls, UNKNOWN)
             for n, later in enumerate(tries):
                 for earlier in tries[:n]:
                     if earlier.end > later.last + MARGIN:
--- a/calicomast/tools/demo.py
+++ b/calicomast/tools/demo.py
@@ -175,6 +175,13 @@
                   f"c=roster-read,t=basic,d=3000,units=1,spread=3,first=0\n"
                   f"Each request needs an id of its own. Settings and state: {fleet.folder}. Ctrl-C ends it.",
                   soft_wrap=True)
+    listed = fleet.folder / "hosts.toml"
+    listed.write_text("".join(
+        f'[[hosts]]\nid = "{h.name}"\naddress = "{h.address}:{h.port}"\nzone = "{h.zone}"\ncell = {h.cell}\n'
+        for h in fleet.hosts))
+    console.print(f"For gateways of your own: hosts in {listed}, counter.address "
+                  f"127.0.0.1:{fleet.counter.port}, "
+                  f"a registry at {fleet.registry.url}.", soft_wrap=True)
     told = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, told.set)
--- a/tests/membership/test_belief.py
+++ b/tests/membership/test_belief.py
@@ -123,6 +123,8 @@
     belief = Belief()
     belief.hear(100.0, [entry("h1", started=1e9)], whole=True)
     assert belief.known["h1"].entry.host.started == 100.0
+    assert belief.hear(200.0, [entry("h1", started=1e9)], whole=True) is None  # nor start anew at each look
+    assert belief.hear(300.0, [entry("h1", started=2e9)], whole=True) is not None  # but it may start again
 
 
 def test_a_host_that_flaps_goes_at_once_and_comes_back_when_calm():
