A hand-over keeps the drains that either process was told; Retire tested in the module

The successor took its predecessor's last list over its own, so a drain that only the successor had heard was forgotten, and a source that tells changes only would never have told it again. It now begins with its own list, takes over drains that only the predecessor heard, and asks its source anew. The test fails without it. The module's birth and events are told by one clock. api.Retire, by which ceilings hold over a hand-over, had no test of its own: it has one, which fails where the store fills on.

--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -60,8 +60,9 @@
         self.hosts = Hosts(config.connect_timeout, config.idle_close, self.room // 2)
         settings = config.settings
         self.counter = Counter(config.counter, settings.counter_timeout) if config.counter else None
+        self.clock = Clock()  # one for the module's birth and all its events
         self.core = Core(settings, self.module(), self.hosts, self.counter, self.loop, config.max_open,
-                         self.most_held)
+                         self.most_held, self.clock)
         self.listing = config.known  # the whole list as it is now
         self.listed_at = time.monotonic()
         self.known = asyncio.Event()  # there are hosts
@@ -70,7 +71,7 @@
         self.endings: set[asyncio.Task[None]] = set()  # what a reload replaced, until it has ended
 
     def module(self) -> Gateway:
-        return Gateway(self.config.settings, self.config.seed, Clock()())
+        return Gateway(self.config.settings, self.config.seed, self.clock())
 
     def front(self, address: Address) -> RespFront:
         return RespFront(self.core, self.room // 2, self.most_held, address)
@@ -219,11 +220,21 @@
         await self.listen(sockets)
 
     def begin(self, listing: Listing) -> None:
-        """The decision module begins its life now, with the predecessor's last list of hosts."""
+        """The decision module begins its life now, with the hosts that this process believes in; `listing` is
+        the predecessor's last. What only one of the two was told to be draining drains: the gateway was told.
+        The source is asked anew, so that what was taken too badly is mended."""
         self.core.module = self.module()
-        self.listing = merged(self.listing, listing)
-        whole = replace(self.listing.hosts, mode="cached")
-        self.core.feed(whole)
+        self.core.feed(replace(self.listing.hosts, mode="cached"))
+        up = {h.id for h in self.listing.hosts.hosts if h.state == "up"}
+        late = [h for h in listing.hosts.hosts if h.state != "up" and h.id in up]
+        if not late:
+            return
+        judge: Judge | None = getattr(self.discovery, "judge", None)
+        if judge is not None:  # through its belief, or what it tells later would not be a change
+            judge.drain(h.id for h in late)
+        else:
+            self.listed(Listing(api.HostList("delta", self.listing.hosts.version, tuple(late)), {}))
+        self.discovery.fetch()
 
     # The end
 
--- a/calicomast/membership/eureka/source.py
+++ b/calicomast/membership/eureka/source.py
@@ -93,6 +93,8 @@
             self.watcher = None
 
     def fetch(self) -> None:
+        """Asks for the whole list, once."""
+        self.replica, self.etag = Replica(), {}
         task = asyncio.get_running_loop().create_task(self.poll())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/calicomast/membership/judge.py
+++ b/calicomast/membership/judge.py
@@ -6,6 +6,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
 
 from calicomast.membership.belief import Belief, Entry, Trust
 from calicomast.membership.listing import Listing
@@ -37,6 +38,11 @@
         gone = {host.id for host in listing.hosts.hosts if host.state == "down"}
         self.hear(entries, gone, listing.hosts.mode != "delta")
 
+    def drain(self, ids: Iterable[str]) -> None:
+        """Another process of this gateway was told that these drain, and this one not yet."""
+        known = [self.belief.known[id].entry for id in ids if id in self.belief.known]
+        self.hear([replace(entry, host=replace(entry.host, state="leaving"), stamp=0) for entry in known])
+
     def tell(self, changed: Listing | None) -> None:
         if changed is not None:
             self.told(changed)
--- a/tests/faults/test_handover.py
+++ b/tests/faults/test_handover.py
@@ -8,10 +8,14 @@
 import socket
 
 import pytest
-from netkit import SERVED, command, on_loop
+from netkit import SERVED, Node, StubHost, command, entry, on_loop
 from rig import TERMS, Load, Site, free_port
 
+from calicomast import interface as api
 from calicomast.daemon.handover import Channel
+from calicomast.membership.belief import Entry, Trust
+from calicomast.membership.judge import Judge
+from calicomast.membership.listing import Listing, read_list
 from calicomast.standins.ledger import Ledger
 
 
@@ -170,3 +174,30 @@
         await left.say({"known": known})
         assert (await heard)["known"] == known
         assert len(json.dumps(known)) > 500_000
+
+
+@pytest.mark.parametrize("ours, theirs", [("draining", "up"), ("up", "draining"), ("draining", "draining")])
+@on_loop
+async def test_what_either_process_was_told_to_drain_drains(ours, theirs, tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        node.discovery.silent = True  # nothing mends it meanwhile
+        mine, yours = ([entry(one, "h1", state), entry(two, "h2")] for state in (ours, theirs))
+        node.node.listed(read_list({"version": 2, "full": True, "servers": mine}))
+        node.node.begin(read_list({"version": 1, "full": True, "servers": yours}, "cached"))
+        assert [s.host.id for s in node.node.core.module.fleet.up] == ["h2"]
+        for n in range(4):
+            assert await node.ask(command(b"r%d" % n)) == SERVED
+        assert not one.commands and len(two.commands) == 4
+
+
+@on_loop
+async def test_a_drain_taken_over_through_a_belief_is_mended_by_its_source():
+    told = []
+    judge = Judge(Trust(calm_time=0.0), Listing(api.HostList("cached", 0, ()), {}), told.append,
+                  lambda: 100.0)
+    up = [Entry(api.Host("h1", "a", 0, 1.0, "", "up", 0.0), ("127.0.0.1", 1), stamp=7)]
+    judge.hear(up, whole=True)
+    judge.drain(["h1", "unknown"])
+    assert told[-1].hosts.hosts[0].state == "leaving"
+    judge.hear(up, whole=True)
+    assert told[-1].hosts.hosts[0].state == "up"
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,4 +1,4 @@
-from helpers import World, of, plan, settings
+from helpers import World, host, of, plan, settings
 
 from calicomast import interface as api
 
@@ -355,3 +355,20 @@
     second = next_call(w)
     acts = w.do(api.Counted(call.name, "ok", call.amount + second.amount, 0.002))
     assert sum(c.amount for c in of(acts, api.Count)) < call.amount
+
+
+def test_who_hands_over_fills_no_ceiling_any_further_and_goes_on_if_the_successor_fails():
+    ceiling = plan(rate=1000.0, burst=4000.0, ceiling_rate=1.0, ceiling_burst=4.0)
+
+    def passed(world):
+        return sum(not of(world.ask(spread=1, cls="read")[1], api.Refuse) for _ in range(10))
+
+    w = World(settings(plans=[ceiling]), [host(f"h{n}") for n in range(40)])
+    w.wait(10.0)
+    assert passed(w) == 4  # all that its store holds
+    w.do(api.Retire(True))
+    w.wait(10.0)
+    assert passed(w) == 0  # what fills since is the successor's
+    assert not of(w.ask(customer="other", spread=1)[1], api.Refuse)  # earned before it retired
+    w.do(api.Retire(False))
+    assert passed(w) == 4
