The queue's cost no longer grows with its length: lanes in place of one list

Requests that may go to the same hosts now share a lane; the first of a lane speaks for all behind it. What is given up is left behind and cleared away in bulk. Order as before: the worthiest first, of equals the latest; a property holds it to a plain list that is looked through.

The hard case of 20,000 held, then all free, then all gone is a test.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from calicomast import interface as api
 
@@ -489,13 +490,57 @@
     done: bool = False
 
 
+Lane = tuple[Any, ...]
+
+
+class Queue:
+    """Requests that wait for a host: the worthiest first, of equals the latest. Those in one lane may go to
+    the same hosts, so the first of them speaks for all, and no look at the queue grows with its length."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[Lane, list[tuple[bool, float, int, Job]]] = {}  # the first stands at the end
+        self.live, self.size = 0, 0  # that wait; entries, those given up since among them
+        self.number = itertools.count()
+
+    def add(self, job: Job) -> None:
+        """What is not proven not to have run, or was tried before, has fewer hosts left."""
+        alone = (job.ran or job.live) and job.cls.effect != "safe"
+        key = job.cls.name, job.kinds, frozenset(job.avoid), job.req.id if alone else ""
+        bisect.insort(self.lanes.setdefault(key, []), (not job.beyond, job.value, next(self.number), job))
+        self.live, self.size = self.live + 1, self.size + 1
+        if self.size > 2 * self.live + FREED_AT_ONCE:  # what was given up must not pile up
+            left = ((key, [e for e in lane if not e[3].done]) for key, lane in self.lanes.items())
+            self.lanes = {key: lane for key, lane in left if lane}
+            self.size = self.live
+
+    def head(self, key: Lane) -> tuple[bool, float, int, Lane] | None:
+        """What orders the lane among others, the first of them least; None: it is empty, and gone."""
+        lane = self.lanes[key]
+        while lane and lane[-1][3].done:
+            lane.pop()
+            self.size -= 1
+        if lane:
+            return not lane[-1][0], -lane[-1][1], -lane[-1][2], key
+        del self.lanes[key]
+        return None
+
+    def pop(self, key: Lane) -> None:
+        self.lanes[key].pop()
+        self.live, self.size = self.live - 1, self.size - 1
+
+    def worst(self) -> Job | None:
+        """The one that is worth least. It stays until it is done."""
+        least = [next((e for e in lane if not e[3].done), None) for lane in self.lanes.values()]
+        return min((e for e in least if e), default=(None,))[-1]
+
+
 class Gateway:
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.set, self.born, self.rng = settings, now, random.Random(seed)
         self.fleet, self.counter = Fleet(settings, self.rng), Counter(settings)
         self.uses = {(p, again): PlanUse(now, GRANT_PRIOR[again]) for p in self.set.plans for again in (0, 1)}
         self.accounts: dict[str, Account] = {}  # in order of their last request
-        self.jobs, self.queue = dict[str, Job](), list[Job]()
+        self.jobs, self.queue = dict[str, Job](), Queue()
         self.calls: dict[int, list[Call]] = {}  # by count name, in order of the calls
         self.budget = RETRY_START / settings.gateways
         self.top = max(c.worth for c in settings.classes.values())
@@ -536,7 +581,7 @@
         self.drain_queue(now)
         while self.due and self.due[0][1] not in self.jobs:
             heapq.heappop(self.due)
-        trial = self.trial_at if self.queue and self.trial_at > now else math.inf
+        trial = self.trial_at if self.queue.live and self.trial_at > now else math.inf
         at = min(self.due[0][0] if self.due else math.inf, self.watch_at, trial)
         if at < self.timer_at:  # what is due next; nothing when idle
             self.timer_at = at
@@ -777,7 +822,7 @@
             self.enqueue(now, job) if ok else self.want_slot(now, job, False)
 
     def beyond(self, now: float, job: Job, wait: float) -> None:
-        clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST and not self.queue
+        clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST and not self.queue.live
         if job.plan.over_worth > job.plan.over_cost and clear:
             job.beyond = True
             self.enqueue(now, job)
@@ -792,16 +837,15 @@
         acct.cap -= units  # spent before sending
         self.line_up(job)
         most = max(QUEUE_LEAST, self.fleet.own_rate(now) * QUEUE_HOLD * job.cls.aim)
-        self.queue = [j for j in self.queue if not j.done] if len(self.queue) > most else self.queue
-        if len(self.queue) > most:
-            self.refuse(now, self.queue.pop(0), 0.0)
+        if self.queue.live > most and (worst := self.queue.worst()) is not None:
+            self.refuse(now, worst, 0.0)
         self.drain_queue(now)
         if job.stage == "queue" and not job.done:
             self.look(job.arrived + self.hold(job), job)
 
     def line_up(self, job: Job) -> None:
         job.stage = "queue"
-        bisect.insort(self.queue, job, key=lambda j: (not j.beyond, j.value))
+        self.queue.add(job)
 
     def hold(self, job: Job) -> float:
         """How long after its arrival a request may wait for a server. One whose attempt failed may do so till
@@ -822,6 +866,7 @@
 
     def close(self, now: float, job: Job) -> None:
         job.done = True
+        self.queue.live -= job.stage == "queue"
         self.jobs.pop(job.req.id, None)
         self.out += [api.Cancel(job.req.id, number) for number in job.live if self.set.limits.cancel]
         if job.slot > 0:
@@ -862,22 +907,27 @@
         return True
 
     def drain_queue(self, now: float) -> None:
-        if not self.queue:
+        queue = self.queue
+        if not queue.live:
             return
-        stuck: set[tuple[str, tuple[str, ...]]] = set()  # classes and kinds of hosts without room for them
-        for job in self.queue[::-1] if self.queue and self.fleet.room(now) else ():
-            # what was tried before has fewer hosts left
-            first, key = not job.sends, (job.cls.name, job.kinds)
-            if not job.done:
-                if key in stuck or not self.send(now, job):
-                    stuck.update([key] * first)
-                    continue
-                if first:
-                    clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST
-                    share = RETRY_SPARE if clear else RETRY_SHARE
-                    self.budget = min(max(2.0, RETRY_MOST / self.set.gateways), self.budget + share)
-            self.queue.remove(job)
-        if self.queue and self.trial_at <= now:  # no other event may come when a host's rest is over
+        lanes = list(queue.lanes) if self.fleet.room(now) else ()
+        heads = [head for key in lanes if (head := queue.head(key))]
+        heapq.heapify(heads)
+        while heads:
+            key = heads[0][-1]
+            job = queue.lanes[key][-1][-1]
+            first = not job.sends
+            if not self.send(now, job):  # nor could what stands behind it
+                heapq.heappop(heads)
+                continue
+            if first:
+                clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST
+                share = RETRY_SPARE if clear else RETRY_SHARE
+                self.budget = min(max(2.0, RETRY_MOST / self.set.gateways), self.budget + share)
+            queue.pop(key)
+            head = queue.head(key)
+            heapq.heapreplace(heads, head) if head else heapq.heappop(heads)
+        if queue.live and self.trial_at <= now:  # no other event may come when a host's rest is over
             trials = [at for s in self.fleet.resting if s.up for _, at in s.rests.values() if at > now]
             self.trial_at = min(trials, default=0.0)
 
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,160 @@
+"""Requests that wait for a host: the same order as a plain list that is looked through, at a cost that does
+not grow with what waits."""
+
+from collections import deque
+
+import pytest
+from helpers import World, host, of
+from helpers import settings as module_settings
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from calicomast import interface as api
+from calicomast import policy
+
+
+class Plain:
+    """The order as it is meant: all that wait, sorted, each looked at."""
+
+    def __init__(self):
+        self.jobs = []
+
+    def add(self, job):
+        at = sum(1 for one in self.jobs if (not one.beyond, one.value) <= (not job.beyond, job.value))
+        self.jobs.insert(at, job)
+
+    def drain(self, send):
+        stuck = set()
+        for job in self.jobs[::-1]:
+            if not job.done and job.lane not in stuck:
+                if send(job):
+                    self.jobs.remove(job)
+                else:
+                    stuck.add(job.lane)
+
+    def worst(self):
+        return next((job for job in self.jobs if not job.done), None)
+
+
+class Waiting:
+    """As much of policy.Job as the queue looks at."""
+
+    def __init__(self, number, lane, value, beyond):
+        self.lane, self.value, self.beyond, self.done = lane, value, beyond, False
+        self.cls = api.ServiceClass(lane, 1, 3, "safe", "all", 0, 1, 0, False, 0)
+        self.kinds, self.avoid = (), set()
+        self.ran, self.live, self.req = [], {}, api.Request(f"r{number}", 3, "c", "p", lane, 1, 0, 1)
+
+
+def drained(queue, send):
+    """As policy.Gateway.drain_queue goes over it."""
+    heads = [head for key in list(queue.lanes) if (head := queue.head(key))]
+    while heads:
+        head = min(heads)
+        heads.remove(head)
+        job = queue.lanes[head[-1]][-1][-1]
+        if send(job):
+            queue.pop(head[-1])
+            after = queue.head(head[-1])
+            heads += [after] if after else []
+
+
+class Room:
+    """So many of each lane can be sent."""
+
+    def __init__(self, a, b):
+        self.left, self.sent = {"a": a, "b": b}, []
+
+    def send(self, job):
+        self.left[job.lane] -= 1
+        if self.left[job.lane] >= 0:
+            self.sent.append(job)
+        return self.left[job.lane] >= 0
+
+
+STEP = st.one_of(
+    st.tuples(st.just("add"), st.sampled_from("ab"), st.sampled_from([1.0, 2.0, 2.5]), st.booleans()),
+    st.tuples(st.just("done"), st.integers(0, 30), st.none(), st.none()),
+    st.tuples(st.just("drain"), st.integers(0, 4), st.integers(0, 4), st.none()),
+    st.tuples(st.just("worst"), st.none(), st.none(), st.none()))
+
+
+@seed(13)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.lists(STEP, max_size=60))
+def test_the_queue_gives_what_a_plain_list_would(steps):
+    queue, plain, jobs = policy.Queue(), Plain(), []
+    for what, a, b, c in steps:
+        if what == "add":
+            job = Waiting(len(jobs), a, b, c)
+            jobs.append(job)
+            queue.add(job)
+            plain.add(job)
+        elif what == "done" and a < len(plain.jobs) and not plain.jobs[a].done:
+            plain.jobs[a].done = True
+            queue.live -= 1
+        elif what == "drain":
+            room = Room(a, b)
+            drained(queue, room.send)
+            other = Room(a, b)
+            plain.drain(other.send)
+            assert room.sent == other.sent
+        elif what == "worst":
+            assert queue.worst() is plain.worst()
+        assert queue.live == sum(1 for job in plain.jobs if not job.done)
+        assert queue.size == sum(map(len, queue.lanes.values())) <= 2 * queue.live + policy.FREED_AT_ONCE + 4
+
+
+def waiting_world(monkeypatch, held):
+    """A gateway whose hosts are all full, with so many that wait."""
+    monkeypatch.setattr(policy, "QUEUE_LEAST", held + 100)
+    plan = api.Plan("p", 1e6, 1e6, 0, 1.0, 0.0, 0.5, 0.0, 0.0, 0.0)
+    w = World(module_settings(gateways=1, plans=[plan]), [host(f"h{n}") for n in range(4)])
+    out = []
+    for _ in range(held):
+        name, acts = w.ask(spread=1)
+        assert not of(acts, api.Refuse)
+        out += of(acts, api.Send)
+    return w, out
+
+
+@pytest.mark.parametrize("held", [200, 20_000])
+def test_what_waits_is_not_looked_through(monkeypatch, held):
+    w, out = waiting_world(monkeypatch, held)
+    tried, choose = [], w.gw.choose
+    monkeypatch.setattr(w.gw, "choose", lambda now, job: tried.append(job) or choose(now, job))
+    for send in out[:10]:
+        w.end(send)
+    assert len(tried) <= 30  # for each that ends one is sent, and one finds that there is no more room
+
+
+def test_twenty_thousand_held_then_all_free_then_all_gone(monkeypatch):
+    held = 20_000
+    w, out = waiting_world(monkeypatch, held)
+    waiting = w.gw.queue.live
+    assert waiting == held - len(out)
+    out, answered = deque(out), set()
+    while len(answered) < 5_000:  # all free at once
+        send = out.popleft()
+        out += of(w.end(send), api.Send)
+        answered.add(send.id)
+    assert w.gw.queue.live == held - len(answered) - len(out)
+    acts = w.do(api.HostList("full", 2, ()))  # all gone
+    assert not of(acts, api.Send)
+    for send in out:  # each ends as its host does
+        acts += w.end(send, "reset")
+    acts += w.wait(3.0)
+    refused = [a.id for a in of(acts, api.Refuse)]
+    assert not of(acts, api.Send) and len(refused) == len(set(refused)) == held - len(answered)
+    assert not answered & set(refused) and not w.gw.jobs and not w.gw.queue.live
+    w.do(api.HostList("full", 3, (host("h9"),)))  # and what comes then is served
+    name, acts = w.ask(spread=1)
+    assert [a.id for a in of(acts, api.Send)] == [name]
+    assert w.gw.queue.size <= policy.FREED_AT_ONCE + 4
+
+
+def test_the_worthiest_go_first_and_of_equals_the_latest(monkeypatch):
+    w, out = waiting_world(monkeypatch, 60)
+    late = [w.ask(spread=1)[0] for _ in range(3)]
+    sent = [of(w.end(send), api.Send)[0].id for send in out[:3]]
+    assert sent == late[::-1]
