Workers are handed over: a new supervisor takes over from a running one

A new version with workers needed a restart. A new supervisor now takes sockets, marks and lock from the one that runs and starts its workers one after another, each of which takes over from its namesake by the hand-over that single gateways have. One that cannot ends the new supervisor, and the old one makes anew what had been replaced. Successors mark writes in regions of their own beside their predecessors'. What asks a machine's gateways asks its supervisor how many there are. A worker told to end while it still started no longer makes the exit code 1.

A worker that really grows to its limit is now played whole: with bodies that pile up behind a silent host.

--- a/calicomast/cli/ask.py
+++ b/calicomast/cli/ask.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import glob
 import os
 from typing import Any
 
@@ -16,12 +15,12 @@
     state = settings.daemon.state
     if not state:
         raise OSError("daemon.state names no folder, so a running gateway cannot be asked")
-    own = os.path.join(state, "handover")
-    workers = sorted(glob.glob(os.path.join(glob.escape(state), "worker-*", "handover")))
-    if os.path.exists(own) or not workers:
-        return {"": await question(own, what)}
-    told = await asyncio.gather(*(question(path, what) for path in workers))
-    return {os.path.basename(os.path.dirname(path)): one for path, one in zip(workers, told, strict=True)}
+    told = await question(os.path.join(state, "handover"), what)
+    if "workers" not in told:
+        return {"": told}
+    names = [f"worker-{number}" for number in range(told["workers"])]
+    each = await asyncio.gather(*(question(os.path.join(state, name, "handover"), what) for name in names))
+    return dict(zip(names, each, strict=True))
 
 
 def headed(name: str, text: str) -> str:
--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -108,7 +108,10 @@
             self.notifier.lost = self.told.set
         self.sockets = named(given(share) if share is not None else passed(), wanted)
         if take_over:
-            self.sockets |= await self.inherit(state)
+            inherited = await self.inherit(state)
+            for address in inherited.keys() & self.sockets.keys():  # a worker's, given by its supervisor too
+                self.sockets.pop(address).close()
+            self.sockets |= inherited
         elif state:
             self.lock = Lock(state)
         for address in wanted:
@@ -172,6 +175,10 @@
             raise HandOverFailed("daemon.state names no folder, so there is nobody to take over from")
         self.heir = Heir(os.path.join(state, "handover"))
         listeners, descriptors, known = await self.heir.take()
+        if "workers" in known:
+            for number in descriptors:
+                os.close(number)
+            raise HandOverFailed("what runs there has workers: say --workers, or restart it")
         sockets = [socket.socket(fileno=number) for number in descriptors[:-1]]
         for sock in sockets:
             sock.setblocking(False)
@@ -362,10 +369,9 @@
     async def run(settings: Settings, config: Config) -> int:
         count = workers or settings.workers.count
         if count > 1 and own_share() is None:
-            if take_over or os.environ.get("RELAY_CONFIG") or not config.counter:
-                raise ValueError("several workers need a counter, are not handed over, and are not for the "
-                                 "platform")
-            return await supervise(path, settings, count)
+            if os.environ.get("RELAY_CONFIG") or not config.counter:
+                raise ValueError("several workers need a counter, and are not for the platform")
+            return await supervise(path, settings, count, take_over)
         return await Daemon(path, settings, config, seldom).run(take_over)
 
     try:
--- a/calicomast/daemon/tending.py
+++ b/calicomast/daemon/tending.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
@@ -59,5 +60,14 @@
         self.start_at = now + min(self.care.most_rest, self.care.rest * 2.0 ** (self.in_row - 1))
         return True
 
+    def handed(self) -> None:
+        """A successor's serves in its place: it is not started again unless `anew` says so."""
+        self.running = self.ready = False
+        self.start_at = math.inf
+
+    def anew(self, now: float) -> None:
+        """The successor failed."""
+        self.start_at, self.in_row = now, 0
+
     def due(self, now: float) -> bool:
         return not self.running and now >= self.start_at
--- a/calicomast/daemon/workers.py
+++ b/calicomast/daemon/workers.py
@@ -25,6 +25,7 @@
 import msgspec
 
 from calicomast.checked import Faulty
+from calicomast.daemon.handover import HandOverFailed, Heir, Keeper
 from calicomast.daemon.inflight import InFlight, size
 from calicomast.daemon.lock import Lock
 from calicomast.daemon.notify import Notifier
@@ -33,8 +34,10 @@
 from calicomast.daemon.tending import Care, Tended
 from calicomast.net.address import Address, read_address, write_address
 
-WORKER, LISTENERS, MARKS = "CALICOMAST_WORKER", "CALICOMAST_LISTENERS", "CALICOMAST_MARKS"  # environment:
-# "2/4"; descriptors "5,6"; the descriptor of the marks (inflight.py)
+# In the environment: "2/4"; descriptors "5,6"; the marks (inflight.py): their descriptor, the first of the
+# regions of these workers, how many regions there are, "7,0,4".
+WORKER, LISTENERS, MARKS = "CALICOMAST_WORKER", "CALICOMAST_LISTENERS", "CALICOMAST_MARKS"
+MARKED = "marks"  # beside the listeners of a hand-over
 LOOK = 0.1  # s between looks at the workers
 SPARE = 5.0  # s past its own time that a worker has for its end before it is killed
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -49,10 +52,13 @@
     number: int
     count: int
     listeners: tuple[int, ...]
-    marks: int = -1
+    marks: tuple[int, int, int] | None = None
 
     def in_flight(self) -> InFlight | None:
-        return InFlight(self.marks, self.number, self.count) if self.marks >= 0 else None
+        if self.marks is None:
+            return None
+        descriptor, base, regions = self.marks
+        return InFlight(descriptor, base + self.number, regions)
 
 
 def own_share(env: Mapping[str, str] = os.environ) -> Share | None:
@@ -60,8 +66,9 @@
     if not told:
         return None
     number, _, count = told.partition("/")
+    marks = tuple(int(n) for n in env.get(MARKS, "").split(",") if n)
     return Share(int(number), int(count), tuple(int(n) for n in env.get(LISTENERS, "").split(",") if n),
-                 int(env.get(MARKS) or -1))
+                 (marks[0], marks[1], marks[2]) if marks else None)
 
 
 def shared(settings: Settings, share: Share) -> Settings:
@@ -105,11 +112,12 @@
         self.signs.bind(self.path)
         self.process: asyncio.subprocess.Process | None = None
         self.killed = False  # for want of a sign of life
+        self.handed = False  # a successor's worker serves in its place
 
 
 class Supervisor:
-    def __init__(self, path: str, settings: Settings, count: int) -> None:
-        self.path, self.settings, self.count = path, settings, count
+    def __init__(self, path: str, settings: Settings, count: int, take_over: bool = False) -> None:
+        self.path, self.settings, self.count, self.take_over = path, settings, count, take_over
         self.loop = asyncio.get_running_loop()
         part = settings.workers
         self.care = Care(part.watchdog, part.patience, part.rest, part.most_rest, part.steady, part.crashes)
@@ -120,7 +128,9 @@
         self.lock: Lock | None = None
         self.waits: set[asyncio.Task[None]] = set()
         self.told_ready = False
-        self.marks = -1
+        self.marks, self.base, self.regions = -1, 0, 0
+        self.keeper: Keeper | None = None
+        self.heir: Heir | None = None
 
     async def run(self) -> int:
         """Until it is told to stop, or a worker's crash loop ends it. The exit code."""
@@ -129,20 +139,30 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.hup)
         folder = tempfile.mkdtemp(prefix="calicomast-")
         try:
-            if self.settings.daemon.state:
-                self.lock = Lock(self.settings.daemon.state)
-                self.lock.sign()
+            state = self.settings.daemon.state
+            if self.take_over:
+                await self.inherit(state)
+            elif state:
+                self.lock = Lock(state)
             if self.settings.workers.address == "shared":
                 for listener in self.settings.listeners:
                     address = read_address(listener.address)
-                    self.sockets[address] = bind(address)
-                self.marks = os.memfd_create("calicomast-marks", os.MFD_CLOEXEC)
-                os.ftruncate(self.marks, size(self.count))
+                    if address not in self.sockets:
+                        self.sockets[address] = bind(address)
+                if self.marks < 0:
+                    self.marks = os.memfd_create("calicomast-marks", os.MFD_CLOEXEC)
+                self.regions = max(self.regions, self.base + self.count)
+                os.ftruncate(self.marks, size(self.regions))
             now = self.loop.time()
             for number in range(self.count):
                 worker = Worker(number, self.care, now, folder)
                 self.workers.append(worker)
                 self.loop.add_reader(worker.signs, self.heard, worker)
+            if self.heir is not None:
+                await self.succeed(self.heir)
+            if self.lock is not None:
+                self.lock.sign()
+                self.keep(state)
             while not self.told.is_set():
                 await self.look()
                 with contextlib.suppress(TimeoutError):
@@ -150,7 +170,13 @@
             self.notifier.stopping()
             good = await self.end()
             return 0 if good and not self.failed else 1
+        except BaseException:  # a hand-over that failed: its workers end, and the predecessor's go on
+            self.told.set()
+            await self.end()
+            raise
         finally:
+            if self.keeper is not None:
+                self.keeper.close()
             for worker in self.workers:
                 self.loop.remove_reader(worker.signs)
                 worker.signs.close()
@@ -163,11 +189,82 @@
                 self.lock.close()
             self.notifier.close()
 
+    # Hand-over: worker by worker, each as a gateway hands over to its successor
+
+    def keep(self, state: str) -> None:
+        wait = self.settings.daemon.handover_wait * self.count
+        self.keeper = Keeper(os.path.join(state, "handover"), self.offer, self.nothing, self.nothing,
+                             self.succeeded, wait)
+        for name in ("hosts", "plugins"):  # the workers know
+            self.keeper.questions[name] = lambda: {"workers": self.count}
+        self.keeper.open()
+
+    def offer(self) -> tuple[list[str], list[int], dict[str, object]]:
+        assert self.lock is not None
+        names = [write_address(address) for address in self.sockets]
+        numbers = [sock.fileno() for sock in self.sockets.values()]
+        if self.marks >= 0:
+            names, numbers = [*names, MARKED], [*numbers, self.marks]
+        return names, [*numbers, self.lock.descriptor], {"workers": self.count, "base": self.base}
+
+    async def nothing(self) -> None:
+        """The workers have paused, each for its successor, and go on by themselves."""
+
+    def succeeded(self) -> None:
+        self.told.set()
+
+    async def inherit(self, state: str) -> None:
+        """Sockets, marks and lock of the supervisor that runs. Raises HandOverFailed."""
+        if not state:
+            raise HandOverFailed("daemon.state names no folder, so there is nobody to take over from")
+        self.heir = Heir(os.path.join(state, "handover"))
+        names, numbers, known = await self.heir.take()
+        if known.get("workers") != self.count:
+            for number in numbers:
+                os.close(number)
+            count = known.get("workers", "no")
+            raise HandOverFailed(f"what runs there has {count} workers, and here are {self.count}: that "
+                                 "needs a restart")
+        self.lock = Lock(state, numbers.pop())
+        wanted = {listener.address for listener in self.settings.listeners}
+        for name, number in zip(names, numbers, strict=True):
+            if name == MARKED:
+                self.marks = number
+                # The predecessor's regions stay as they are: what is marked there is in work till it ends.
+                old = int(known.get("base", 0))
+                self.base = 0 if old >= self.count else old + self.count
+                self.regions = os.fstat(number).st_size // size(1)
+            elif name in wanted:
+                sock = socket.socket(fileno=number)
+                sock.setblocking(False)
+                self.sockets[read_address(name)] = sock
+            else:
+                os.close(number)
+
+    async def succeed(self, heir: Heir) -> None:
+        """One worker after another takes over from the predecessor's; if one cannot, all is as before."""
+        for worker in self.workers:
+            await self.start(worker, take_over=True)
+            process, until = worker.process, self.loop.time() + self.settings.daemon.handover_wait
+            while not worker.tended.ready:
+                if process is None or process.returncode is not None or self.loop.time() > until:
+                    raise HandOverFailed(f"worker {worker.number} could not take over")
+                if self.told.is_set():
+                    raise HandOverFailed("told to stop")
+                await asyncio.sleep(LOOK / 10)
+        await heir.ready()
+        await heir.serving()
+
     # Workers
 
     async def look(self) -> None:
         now = self.loop.time()
+        handing = self.keeper is not None and self.keeper.busy
         for worker in self.workers:
+            # the successor failed: its worker has ended, and ours begins anew
+            if worker.handed and not handing:
+                worker.handed = False
+                worker.tended.anew(now)
             if worker.tended.due(now):
                 await self.start(worker)
             elif worker.process is not None and not worker.killed and worker.tended.hung(now):
@@ -188,17 +285,18 @@
             return False
         return pages * PAGE > self.settings.limits.memory_mb * 1024 * 1024
 
-    async def start(self, worker: Worker) -> None:
+    async def start(self, worker: Worker, take_over: bool = False) -> None:
         numbers = [sock.fileno() for sock in self.sockets.values()]
         environment = {name: value for name, value in os.environ.items()
                        if name not in ("LISTEN_FDS", "LISTEN_PID", "WATCHDOG_PID")}
         environment |= {WORKER: f"{worker.number}/{self.count}", LISTENERS: ",".join(map(str, numbers)),
-                        MARKS: str(self.marks),
+                        MARKS: f"{self.marks},{self.base},{self.regions}" if self.marks >= 0 else "",
                         "NOTIFY_SOCKET": worker.path, "WATCHDOG_USEC": str(int(self.care.watchdog * 1e6))}
         worker.killed = False
         worker.tended.started(self.loop.time())
         worker.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "calicomast", "serve", self.path, env=environment,
+            sys.executable, "-m", "calicomast", "serve", self.path, *(["--take-over"] if take_over else []),
+            env=environment,
             pass_fds=numbers + ([self.marks] if self.marks >= 0 else []))
         wait = self.loop.create_task(self.wait(worker, worker.process))
         self.waits.add(wait)
@@ -208,9 +306,15 @@
         code = await process.wait()
         worker.process = None
         if self.told.is_set():
-            self.failed = self.failed or code != 0
+            # One that was told to end while it still started had taken nothing.
+            early = code == -signal.SIGTERM and not worker.tended.ready
+            self.failed = self.failed or (code != 0 and not early)
             worker.tended.running = False
             return
+        if code == 0 and self.keeper is not None and self.keeper.busy:
+            worker.handed = True
+            worker.tended.handed()
+            return
         again = worker.tended.ended(self.loop.time())
         log.error("worker %d ended (%s)%s", worker.number, f"signal {-code}" if code < 0
                   else f"exit code {code}",
@@ -230,7 +334,7 @@
             self.told_ready = True
             log.info("%d workers listen on %s", self.count,
                      ", ".join(listener.address for listener in self.settings.listeners))
-            self.notifier.ready(f"{self.count} workers serve")
+            self.notifier.ready(f"{self.count} workers serve", main=self.take_over)
 
     @staticmethod
     def send(worker: Worker, number: signal.Signals) -> None:
@@ -243,7 +347,8 @@
     def hup(self) -> None:
         """Workers take up what they can, as a gateway does; what only the supervisor could is refused for
         all."""
-        if self.told.is_set():
+        if self.told.is_set() or (self.keeper is not None and self.keeper.busy):
+            log.warning("no reload during a stop or a hand-over")
             return
         try:
             new = read_settings(self.path)
@@ -265,7 +370,8 @@
 
     async def end(self) -> bool:
         """Whether all ended by themselves."""
-        for worker in self.workers:
+        handed = self.keeper is not None and self.keeper.over  # then each ends by itself, or has
+        for worker in self.workers if not handed else ():
             self.send(worker, signal.SIGTERM)
         part = self.settings.daemon
         if not self.waits:
@@ -279,5 +385,6 @@
         return not left
 
 
-async def supervise(path: str, settings: Settings, count: int) -> int:
-    return await Supervisor(path, settings, count).run()
+async def supervise(path: str, settings: Settings, count: int, take_over: bool) -> int:
+    """Raises HandOverFailed, Locked or OSError if it cannot start."""
+    return await Supervisor(path, settings, count, take_over).run()
--- a/tests/faults/test_workers.py
+++ b/tests/faults/test_workers.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from netkit import command, on_loop, terms
+from netkit import SERVED, VALUE, command, on_loop, read_reply, terms
 from rig import PROGRAM, ROOT, TERMS, Load, Site
 
 from calicomast.daemon.settings import read_settings
@@ -110,29 +110,40 @@
         assert await site.ended(program) == 0
 
 
+def held(pid):
+    """MB that a process holds."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024
+
+
 @on_loop
-async def test_one_that_holds_too_much_finishes_and_is_made_anew(tmp_path):
-    ledger = Ledger(TERMS)
-    async with Group(tmp_path, ledger=ledger) as site:
+async def test_one_that_grows_to_its_limit_finishes_what_it_has_and_is_made_anew(tmp_path):
+    """A host that says nothing lets bodies pile up in both workers."""
+    async with Group(tmp_path, hosts=1, answer=lambda: None) as site:
         program = await site.up(2)
-        before = set(children(program))
-        async with Load(site, ledger) as load:
-            site.write(workers="watchdog = 1.0\nsteady = 0.5", limits="memory_mb = 48")
-            text = site.file.read_text()
-            site.file.write_text(text)
-            program.send_signal(signal.SIGHUP)
-            await load.served(30)
-        # A gateway of tests is lighter than the least limit; the look itself is what is left to show.
-        from calicomast.daemon.workers import Supervisor
-
-        class Lean(Supervisor):
-            def __init__(self):
-                self.settings = read_settings(str(site.file))
-
-        assert not Lean().fat(next(iter(before))) and not Lean().fat(10 ** 9)
-        lean = Lean()
-        lean.settings = type("S", (), {"limits": type("L", (), {"memory_mb": 1})})
-        assert lean.fat(next(iter(before)))
+        before = children(program)
+        most = int(max(map(held, before))) + 4
+        site.write(workers="watchdog = 1.0\nsteady = 0.5", limits=f"memory_mb = {most}")
+        program.send_signal(signal.SIGHUP)
+        for _ in range(2):
+            await site.line(program, b"reload: ")
+        lines = [await asyncio.open_connection("127.0.0.1", site.port) for _ in range(80)]
+        body = b"x" * 64_000
+        for k, (_, writer) in enumerate(lines):
+            for n in range(4):
+                writer.write(command(b"%d-%d" % (k, n), b"c=note,t=p,d=3000,units=1,spread=1,first=0",
+                                     b"API.WRITE", body=body))
+        await site.line(program, b"holds more than limits.memory_mb")
+        for reader, writer in lines:  # each is answered, in whichever worker it was
+            for _ in range(4):
+                assert (await read_reply(reader))[:5] in (b"-ERR ", b"-BUSY")
+            writer.close()
+        await site.line(program, b"ended (exit code 0); again in")
+        await until(lambda: len(children(program)) == 2 and children(program) != before, "made anew")
+        site.hosts[0].answer = VALUE
+        # the host that said nothing is doubted for a moment
+        while await site.ask(command(b"after")) != SERVED:
+            await asyncio.sleep(0.05)
         assert await site.ended(program) == 0
 
 
@@ -201,11 +212,8 @@
 
 
 @on_loop
-async def test_workers_without_a_counter_or_with_a_hand_over_are_refused(tmp_path):
+async def test_workers_without_a_counter_are_refused(tmp_path):
     async with Group(tmp_path) as site:
-        program = await site.start("--workers", "2", "--take-over", ready=False)
-        await site.line(program, b"are not handed over")
-        assert await program.wait() == 1
         site.write(workers="count = 2")
         site.file.write_text(site.file.read_text().replace(f'address = "127.0.0.1:{site.counter.port}"', ""))
         program = await site.start(ready=False)
@@ -213,6 +221,97 @@
         assert await program.wait() == 2
 
 
+async def drained(program):
+    """Its end, its log read to the last line."""
+    while await program.stderr.readline():
+        pass
+    return await program.wait()
+
+
+async def successor(site, *arguments):
+    program = await site.start("--take-over", *arguments, ready=False)
+    await site.line(program, b"workers listen on")
+    return program
+
+
+@on_loop
+async def test_a_supervisor_takes_over_worker_by_worker_and_another_from_that_one(tmp_path):
+    ledger = Ledger(TERMS)
+    async with Group(tmp_path, ledger=ledger) as site:
+        first = await site.up(3)
+        async with Load(site, ledger) as load:
+            for _ in range(2):
+                second = await successor(site, "--workers", "3")
+                assert await drained(first) == 0
+                await load.served(30)
+                first = second
+            os.kill(children(first)[0], signal.SIGKILL)  # it tends them as its own
+            await site.line(first, b"ended (signal 9); again in")
+            await until(lambda: len(children(first)) == 3, "made anew")
+        assert await site.ended(first) == 0
+
+
+@pytest.mark.parametrize("how", ["a bad file", "killed at its second worker", "another count",
+                                 "no workers"])
+@on_loop
+async def test_a_successor_that_fails_leaves_the_old_supervisor_with_all_its_workers(how, tmp_path):
+    ledger = Ledger(TERMS)
+    async with Group(tmp_path, ledger=ledger) as site:
+        first = await site.up(3)
+        before = children(first)
+        load = Load(site, ledger, 100.0)
+        await load.__aenter__()
+        if how == "a bad file":
+            good = site.file.read_text()
+            site.file.write_text("nonsense")
+            second = await site.start("--take-over", "--workers", "3", ready=False)
+            assert await drained(second) == 2
+            site.file.write_text(good)
+        elif how == "killed at its second worker":
+            second = await site.start("--take-over", "--workers", "3", ready=False)
+            await until(lambda: len(children(second)) >= 2, "its second worker")
+            second.send_signal(signal.SIGKILL)
+            await drained(second)
+            await until(lambda: len(children(first)) == 3 and before[0] not in children(first), "made anew")
+        else:
+            arguments = ["--workers", "2"] if how == "another count" else []
+            second = await site.start("--take-over", *arguments, ready=False)
+            word = b"needs a restart" if arguments else b"say --workers"
+            await site.line(second, word)
+            assert await drained(second) == 1 and children(first) == before
+        await load.served(30)
+        third = await successor(site, "--workers", "3")  # and the next one can
+        assert await drained(first) == 0
+        await load.served(30)
+        load.task.cancel()
+        await asyncio.gather(load.task, return_exceptions=True)
+        while load.traffic.tasks:
+            await asyncio.wait(list(load.traffic.tasks))
+        load.client.close()
+        # A supervisor that is killed is more than a hand-over that fails: its workers end, and clients see
+        # it.
+        for verdict in ledger.judge():
+            assert verdict.kept or (verdict.rule == "no request lost" and "killed" in how), report([verdict])
+        assert await site.ended(third) == 0
+
+
+@on_loop
+async def test_a_write_in_work_at_a_predecessors_worker_is_taken_by_no_successors(tmp_path):
+    async with Group(tmp_path, hosts=1, answer=lambda: None) as site:
+        first = await site.up(2)
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        note = command(b"n1", b"c=note,t=p,d=3000,units=1,spread=1,first=0", b"API.WRITE", body=b"B")
+        writer.write(note)
+        await site.hosts[0].arrived.get()
+        second = await successor(site, "--workers", "2")
+        for _ in range(4):  # whichever worker accepts
+            assert await site.ask(note) == b"-ERR this id is in work\r\n"
+        assert (await reader.readline()) == b"-ERR failed\r\n"  # in time, though nobody answered it
+        writer.close()
+        assert len(site.hosts[0].commands) == 1
+        assert await drained(first) == 0 and await site.ended(second) == 0
+
+
 def test_a_workers_place_in_the_group(tmp_path):
     file = tmp_path / "gateway.toml"
     file.write_text('[[listeners]]\naddress = "127.0.0.1:7000"\n[gateway]\nindex = 1\ngateways = 2\n'
