--- a/benchmarks/module_cost.py
+++ b/benchmarks/module_cost.py
@@ -21,6 +21,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "benchmarks"))
+
+from plots import Line, draw  # noqa: E402
 
 CASES = {"10 hosts": "hosts=10", "100 hosts": "hosts=100", "1000 hosts": "hosts=1000",
          "1 customer": "customers=1", "10k customers": "customers=10000",
@@ -157,6 +160,7 @@
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--case", action="append", choices=list(CASES), help="only these")
     parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--plot", metavar="FOLDER", help="one SVG for each of hosts, customers, queue")
     told = parser.parse_args()
     figures: dict[str, dict[str, float]] = {}
     with tempfile.TemporaryDirectory(prefix="module-cost-") as folder:
@@ -184,6 +188,23 @@
         print(f"{'bytes a ' + what:22}{figures[f'bytes a {what}']['now']:10.0f}")
     if told.json:
         Path(told.json).write_text(json.dumps(figures, indent=1))
+    if told.plot:
+        plot(figures, Path(told.plot))
+
+
+def plot(figures: dict[str, dict[str, float]], folder: Path) -> None:
+    for what, across, cases in (
+            ("hosts", "hosts", {"10 hosts": 10, "100 hosts": 100, "1000 hosts": 1000}),
+            ("customers", "customers", {"1 customer": 1, "10k customers": 10_000, "200k customers": 200_000}),
+            ("queue", "requests that wait (none: at 1)",
+             {"0 queued": 1, "1k queued": 1000, "20k queued": 20_000})):
+        if not set(cases) <= set(figures):
+            continue
+        trees = [tree for tree in ("now", "before") if tree in figures[next(iter(cases))]]
+        lines = [Line(tree, [(count, figures[name][tree]) for name, count in cases.items()], tree == "before")
+                 for tree in trees]
+        text = draw(f"The module's cost a request, by {what}", across, "us of CPU", lines, True, True)
+        (folder / f"module-{what}.svg").write_text(text)
 
 
 if __name__ == "__main__":
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,6 +1,6 @@
 """What becomes of requests when more come than the gateway's core can do?
 
-    python benchmarks/overload.py [--seconds 10] [--times 0.7 1 2 3] [--hosts 50] [--json FILE]
+    python benchmarks/overload.py [--seconds 10] [--times 0.7 1 2 3] [--hosts 50] [--json FILE] [--plot FILE]
 
 One gateway on one core, hosts that answer at once, and load by a schedule that does not wait for answers,
 from three processes over 24 connections. First its peak, in a closed loop; then so many times that, with
@@ -27,6 +27,7 @@
 sys.path.insert(0, str(ROOT / "benchmarks"))
 
 import request_cost  # noqa: E402
+from plots import Line, draw  # noqa: E402
 from request_cost import FastHost, cpu, memory  # noqa: E402
 from workers import LOAD as CLOSED  # noqa: E402
 
@@ -162,6 +163,8 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--times", type=float, nargs="+", default=[0.7, 1.0, 2.0, 3.0])
+    parser.add_argument("--plot", metavar="FILE")
+    parser.add_argument("--early", choices=["on", "off", "both"], default="both")
     parser.add_argument("--hosts", type=int, default=50)
     parser.add_argument("--json", metavar="FILE")
     told = parser.parse_args()
@@ -170,7 +173,7 @@
     print(f"{'early':5} {'times':>5} {'sent/s':>7} {'good/s':>7} {'of peak':>7} {'refused':>8} {'p50 ms':>7} "
           f"{'p99 ms':>7} {'most':>7} {'ref p50':>8} {'ref p99':>8} {'gold':>5} {'basic':>5} {'cpu':>5} "
           f"{'left':>5}")
-    for on in (True, False):
+    for on in {"on": [True], "off": [False], "both": [True, False]}[told.early]:
         with tempfile.TemporaryDirectory(prefix="overload-") as folder:
             rows = uvloop.run(measure(on, told.times, told.seconds, Path(folder),
                                       figures[0]["peak"] if figures else 0.0, told.hosts))
@@ -183,6 +186,13 @@
         figures += rows
     if told.json:
         Path(told.json).write_text(json.dumps(figures, indent=1))
+    if told.plot:
+        lines = [Line(f"{what}, early {'on' if on else 'off'}",
+                      [(row["times"], row[key] / (row["peak"] if key == "good" else 1.0))
+                       for row in figures if row["on"] == on], not on)
+                 for key, what in (("good", "in time, of peak"), ("gold", "of worth 3"))
+                 for on in sorted({row["on"] for row in figures}, reverse=True)]
+        Path(told.plot).write_text(draw("Served in time as more comes", "times the peak", "part", lines))
 
 
 if __name__ == "__main__":
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -7,7 +7,7 @@
 from html import escape
 from typing import NamedTuple
 
-WIDTH, HEIGHT, LEFT, TOP, BOTTOM, RIGHT = 640, 320, 64, 36, 48, 150
+WIDTH, HEIGHT, LEFT, TOP, BOTTOM, RIGHT = 700, 320, 64, 36, 48, 210
 COLOURS = ("#1b6ca8", "#c2571a", "#3c8d40", "#7a4fa3", "#8a6d1f", "#555555")
 
 
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -176,6 +176,22 @@
         _need(self.spread >= 1, f"request {self.id}: spread must be at least 1")
 
 
+@dataclass(frozen=True, slots=True)
+class Check(Request):
+    """May this customer use so many units now? It spends them as a request would, goes to no host, and is
+    answered by Granted or Denied. Any number of units: 0 spends nothing, more than a burst never fits."""
+
+
+@dataclass(frozen=True, slots=True)
+class GiveBack:
+    """Units that a Check of this customer was granted, and that were not used: another one of the same
+    question was denied. They count as unspent again while the window is the one that they were spent in."""
+
+    customer: str
+    units: float
+    window: int  # as Granted told it
+
+
 @dataclass(frozen=True, slots=True)
 class Barred:
     """A request that a plug-in would have refused, before anything was taken for it. It was not told of
@@ -252,7 +268,8 @@
     on: bool
 
 
-Event = HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message | Retire | Barred
+Event = (HostList | Request | Check | GiveBack | Outcome | Counted | Probed | Timer | Began | Gone | Message
+         | Retire | Barred)
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +279,26 @@
     timeout: float = 0  # 0: until the client gives up
 
 
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A check's units are spent."""
+
+    id: str
+    # units of the customer's quota left in this window, as far as is known here; inf: no quota
+    remaining: float
+    reset: float  # s until the window turns; 0: no quota
+    window: int  # for GiveBack
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    id: str
+    over: bool  # beyond the customer's quota or ceiling; False: shed, or out of time
+    retry_after: float  # s; 0: not known
+    remaining: float
+    reset: float
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     id: str
@@ -317,4 +354,5 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Count | SetTimer | Probe | Close | Fetch | Watch | Log
+Action = (Send | Refuse | Fail | Granted | Denied | Cancel | Count | SetTimer | Probe | Close | Fetch | Watch
+          | Log)
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -519,6 +519,8 @@
     late: set[int] = field(default_factory=set)  # attempts whose silence was noted
     avoid: set[str] = field(default_factory=set)
     done: bool = False
+    check: bool = False  # goes to no host: its units are all that is asked for
+    over: bool = False  # refused for its customer's quota or ceiling
 
 
 Lane = tuple[Any, ...]
@@ -612,6 +614,8 @@
                 self.close(now, self.jobs[event.id])
             case api.Barred():
                 self.out.append(api.Refuse(event.id, self.told_wait(event.wait)))
+            case api.GiveBack():
+                self.give_back(now, event)
             case api.Retire():
                 self.retired_at = now if event.on else math.inf
         self.drain_queue(now)
@@ -629,25 +633,29 @@
         acct = self.accounts.pop(req.customer, None)
         if acct is None:
             if 0 < self.set.most_accounts <= len(self.accounts) and not self.forget_one(now):
-                self.out.append(api.Refuse(req.id, self.told_wait(1.0)))
+                wait = self.told_wait(1.0)
+                self.out.append(api.Denied(req.id, False, wait, 0.0, 0.0) if isinstance(req, api.Check)
+                                else api.Refuse(req.id, wait))
                 return
             acct = Account(req, plan, self.born, min(now, self.retired_at), self.rng)
             acct.known = self.forgotten is None or not self.forgotten.has(now, req.customer)
         self.accounts[req.customer], acct.seen_at = acct, now
         self.free_accounts(now)
-        worth = cls.worth * plan.price * req.units
+        worth = cls.worth * plan.price * min(req.units, self.set.most_units)  # a check may ask for any number
         self.worth += (GAIN if self.worth else 1.0) * (worth - self.worth)
         keys = self.levels.get((req.cls, req.plan))
         if keys is None:
             keys = self.levels[req.cls, req.plan] = Levels(("host", "class " + cls.name, "plan " + plan.name))
         job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
                                       worth / max(self.fleet.mean[cls.name], 1e-6), keys)
+        job.check = isinstance(req, api.Check)
         route = self.set.routes.get(req.route) if req.route else None
         if route and not (route.fallback and all(s.host.kind not in route.kinds for s in self.fleet.up)):
             job.kinds = route.kinds
         if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
             self.refuse(now, job, 0.0)
         elif acct.ceiling_room(min(now, self.retired_at)) < req.units:
+            job.over = True
             self.refuse(now, job, (req.units - acct.cap) * acct.spread / plan.ceiling_rate)
         elif plan.rate:
             self.want_units(now, job)
@@ -734,7 +742,8 @@
         gain = job.worth / max(self.worth, 1e-9) * min(use.share, use.mistake(job.plan))
         chance = self.counter.chance(gain)
         self.decide(now, job, self.rng.random() < chance)
-        self.renew(now, job.acct, min(SAMPLE_MOST, 1 / chance))  # it stands for those that pass unasked too
+        # it stands for those that pass unasked too
+        self.renew(now, job.acct, min(SAMPLE_MOST, 1 / max(chance, 1e-9)))
 
     def decide(self, now: float, job: Job, ask: bool) -> None:
         acct, room = job.acct, job.acct.room(now)
@@ -861,6 +870,9 @@
         over = 1 - sum(mean ** n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
         cost = max(0.0, plan.over_cost - plan.over_worth)
         job.stage = "slot"
+        if job.check:
+            self.enqueue(now, job)
+            return
         if acct.open_here < own:
             job.slot = -1
             acct.open_here += 1
@@ -894,14 +906,20 @@
             job.beyond = True
             self.enqueue(now, job)
         else:
+            job.over = True
             self.refuse(now, job, wait)
 
     def enqueue(self, now: float, job: Job) -> None:
         acct, units = job.acct, job.req.units
         if acct.ceiling_room(min(now, self.retired_at)) < units:
+            job.over = True
             self.refuse(now, job, 0.0)
             return
         acct.cap -= units  # spent before sending
+        if job.check:
+            self.out.append(api.Granted(job.req.id, *self.left(now, job), acct.k))
+            self.close(now, job)
+            return
         if not self.queue.live and self.fleet.room(now) and self.send(now, job):  # the usual case
             self.earn()
             return
@@ -922,7 +940,30 @@
         it is worth nothing or its refusal comes late: a client that comes again is served later still."""
         return min(job.cls.aim, (job.deadline - job.arrived) / 2) if job.sends else QUEUE_HOLD * job.cls.aim
 
+    def left(self, now: float, job: Job) -> tuple[float, float]:
+        """Units left to its class, as far as is known here, and seconds until its customer's window turns."""
+        acct = job.acct
+        if not acct.plan.rate:
+            return math.inf, 0.0
+        acct.roll(now)
+        unused = min(acct.plan.burst, acct.hold(now) - acct.total + acct.lease - acct.uncharged)
+        return max(0.0, unused - self.kept(job)), acct.start + acct.length - now
+
+    def give_back(self, now: float, event: api.GiveBack) -> None:
+        acct = self.accounts.get(event.customer)
+        if acct is None:  # forgotten since, and its ceiling's store was full then
+            return
+        acct.roll(now)
+        if acct.plan.rate and acct.k == event.window:
+            acct.lease += event.units
+            acct.used -= event.units
+        acct.cap = min(acct.plan.ceiling_burst / acct.spread, acct.cap + event.units)
+
     def refuse(self, now: float, job: Job, wait: float) -> None:
+        if job.check:
+            self.out.append(api.Denied(job.req.id, job.over, self.told_wait(wait), *self.left(now, job)))
+            self.close(now, job)
+            return
         ran = job.cls.effect != "safe" and (job.cls.effect, job.cls.scope) != ("keyed", "all")
         if not (ran and (job.ran or job.live)):
             self.out.append(api.Refuse(job.req.id, self.told_wait(wait)))
