--- a/calicomast/core/life.py
+++ b/calicomast/core/life.py
@@ -19,6 +19,7 @@
 from calicomast.core.ports import (
     Addresses,
     Attempt,
+    CheckPlace,
     Counter,
     Hooked,
     Hooks,
@@ -55,6 +56,18 @@
     """A request with this id is in work, by this front or another."""
 
 
+class Nothing:
+    """What hosts are sent for a check."""
+
+    size = 0
+
+    def payload(self, left: float) -> bytes:
+        raise AssertionError("a check goes to no host")
+
+
+NOTHING = Nothing()
+
+
 class Work:
     """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
 
@@ -92,6 +105,7 @@
         self.done = asyncio.Event()  # stopping, and nothing is in work
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
+            api.Granted: self.granted, api.Denied: self.denied,
             api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
             api.Close: lambda a: self.hosts.close_idle(a.host), api.Fetch: lambda _: self.fetch(),
             api.Watch: lambda a: self.watch(a.on),
@@ -134,7 +148,16 @@
         self.open.take(front, 1)
         self.held.take(front, order.size)
         work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
-        self.feed(request if self.hooks is None else self.asked(self.hooks, work, request))
+        hooks = None if order is NOTHING else self.hooks
+        self.feed(request if hooks is None else self.asked(hooks, work, request))
+
+    def check(self, front: object, check: api.Check, place: CheckPlace) -> None:
+        """As `take`, for units that no host is asked for. Plug-ins are not asked about it."""
+        self.take(front, check, NOTHING, place)
+
+    def give_back(self, customer: str, told: api.Granted, units: float) -> None:
+        """What a check was granted was not used: another of the same question was denied."""
+        self.feed(api.GiveBack(customer, units, told.window))
 
     def in_work(self, id: str, write: bool) -> bool:
         """Whether this id may be running: a refusal, which says that it did not run, would not be true."""
@@ -198,9 +221,8 @@
             self.abandon(work)
 
     def finish(self, work: Work, outcome: str, *told: Any) -> None:
-        """The one place where a request gets its final answer: served, refused or failed, the calls of its
-        place;
-        gone: nobody is there to hear it."""
+        """The one place where a request gets its final answer: served, refused or failed, a check granted or
+        denied, the calls of its place; gone: nobody is there to hear it."""
         if work.over:
             return
         work.over = True
@@ -270,6 +292,18 @@
         if work is not None:
             self.finish(work, "failed")
 
+    def granted(self, action: api.Granted) -> None:
+        work = self.works.get(action.id)
+        if work is not None:
+            self.finish(work, "granted", action)
+
+    def denied(self, action: api.Denied) -> None:
+        work = self.works.get(action.id)
+        if work is not None:
+            if self.door is not None and action.retry_after > 0:
+                self.door.told(work.customer, action.retry_after)
+            self.finish(work, "denied", action)
+
     def send(self, action: api.Send) -> None:
         work = self.works.get(action.id)
         if work is None or work.over:
--- a/calicomast/core/ports.py
+++ b/calicomast/core/ports.py
@@ -26,6 +26,15 @@
         """It may have run."""
 
 
+class CheckPlace(Place, Protocol):
+    """Where a check's answer goes: one of `granted`, `denied`, `refused` (no room here) and `failed`,
+    once."""
+
+    def granted(self, told: api.Granted) -> None: ...
+
+    def denied(self, told: api.Denied) -> None: ...
+
+
 class Order(Protocol):
     """What a host is sent for a request."""
 
--- a/tests/core/test_life.py
+++ b/tests/core/test_life.py
@@ -375,3 +375,62 @@
     assert [id for id, _ in marks.marked] == ["a", "b", "c"] and not marks.cleared
     w.hosts.out[0].end("ok")
     assert one.answers == ["served"] and marks.cleared == [7]
+
+
+class Asker(Place):
+    def granted(self, told):
+        self.note(("granted", told.remaining))
+
+    def denied(self, told):
+        self.note(("denied", told.over))
+
+
+def check(id, left=3.0):
+    return api.Check(id, left, "c", "p", "read", 1.0, 0, 1)
+
+
+def test_a_check_is_answered_once_and_goes_to_no_host():
+    w = World()
+    one, two, three = Asker(), Asker(), Asker()
+    w.module.next = [api.Granted("a", 5.0, 1.0, 7), api.Denied("a", True, 0.0, 0.0, 0.0), api.Refuse("a")]
+    w.core.check("front", check("a"), one)
+    w.module.next = [api.Denied("b", True, 0.5, 0.0, 0.0)]
+    w.core.check("front", check("b"), two)
+    assert one.answers == [("granted", 5.0)] and two.answers == [("denied", True)] and not w.hosts.sent
+    assert not w.core.works and not w.core.open.used
+    w.module.next = [api.Send("c", "h1")]  # a module that sends one on: the guard answers
+    w.core.check("front", check("c"), three)
+    w.loop.fire()
+    assert three.answers == ["failed"] and not w.hosts.sent and not w.core.works
+
+
+def test_a_check_whose_caller_left_and_one_that_the_module_fails_on_or_forgets():
+    w = World()
+    gone, broken, silent = Asker(), Asker(), Asker()
+    w.core.check("front", check("a"), gone)
+    w.core.gone(gone)
+    assert isinstance(w.module.events[-1], api.Gone)
+    w.module.next = ValueError("the module is broken")
+    w.core.check("front", check("b"), broken)
+    w.core.check("front", check("c"), silent)
+    w.loop.fire()
+    w.module.next = [api.Granted("a", 5.0, 1.0, 7), api.Granted("c", 5.0, 1.0, 7)]
+    w.core.check("front", check("d"), Asker())  # answers that come late
+    assert not gone.answers and broken.answers == silent.answers == ["failed"]
+
+
+def test_checks_share_the_room_and_the_ids_of_requests_and_no_plug_in_is_asked():
+    w = World(most=1)
+    w.core.hooks = None
+    w.core.check("front", check("a"), Asker())
+    with pytest.raises(InWork):
+        w.core.check("front", check("a"), Asker())
+    full = Asker()
+    w.core.check("front", check("b"), full)
+    assert full.answers == ["refused"]
+    w = World()
+    w.core.hooks = object()  # would raise if it were asked
+    w.core.check("front", check("a"), Asker())
+    assert type(w.module.events[-1]) is api.Check
+    w.core.give_back("c", api.Granted("a", 0.0, 1.0, 7), 2.0)
+    assert w.module.events[-1] == api.GiveBack("c", 2.0, 7)
--- /dev/null
+++ b/tests/ratelimit/test_service.py
@@ -0,0 +1,215 @@
+"""ShouldRateLimit over sockets, asked by a foreign client: grpcio with the messages of the package
+registry."""
+
+import asyncio
+
+import grpc
+import pytest
+from envoy.service.ratelimit.v3 import rls_pb2 as pb
+from netkit import SERVED, SETTINGS, Node, StubHost, command, on_loop, terms
+
+from calicomast import interface as api
+from calicomast.fronts.grpc.front import GrpcFront
+from calicomast.fronts.grpc.mapping import Mapping, Rule
+from calicomast.fronts.grpc.service import METHOD, MOST_DESCRIPTORS, RateLimit
+
+CONF = SETTINGS | {"plans": [*SETTINGS["plans"], {"name": "quota", "rate": 0.01, "most_at_once": 20.0}]}
+A, B, C = "00000000000000aa", "00000000000000bb", "00000000000000cc"
+
+
+class Asking:
+    """A gRPC listener on a gateway, and a client of it."""
+
+    def __init__(self, node, **kw):
+        core = node.node.core
+        self.front = GrpcFront(core, ("127.0.0.1", 0), 50)
+        rules = [Rule("payroll", ("account",), "{account}", "quota", "read"),
+                 Rule("payroll", ("account", "plan"), "{account}", "{plan}", "read"),
+                 Rule("payroll", ("account", "cost=two"), "{account}", "quota", "read", units=2.0)]
+        mapping = Mapping(rules, core.settings.plans, core.settings.classes, core.settings.gateways)
+        self.service = RateLimit(core, self.front, mapping, **{"patience": 2.0, **kw})
+        self.front.use({METHOD: self.service.call})
+
+    async def __aenter__(self):
+        await self.front.listen()
+        self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{self.front.port}")
+        self.call = self.channel.unary_unary(METHOD, pb.RateLimitRequest.SerializeToString,
+                                             pb.RateLimitResponse.FromString)
+        return self
+
+    async def ask(self, *descriptors, hits=0, timeout=5.0, domain="payroll"):
+        """A descriptor: a customer, or a dict of entries, with `hits` for its own."""
+        request = pb.RateLimitRequest(domain=domain, hits_addend=hits)
+        for one in descriptors:
+            entries = {"account": one} if isinstance(one, str) else dict(one)
+            told = request.descriptors.add()
+            if (own := entries.pop("hits", None)) is not None:
+                told.hits_addend.value = own
+            for key, value in entries.items():
+                told.entries.add(key=key, value=value)
+        return await self.call(request, timeout=timeout)
+
+    async def status(self, *descriptors, **kw):
+        with pytest.raises(grpc.aio.AioRpcError) as told:
+            await self.ask(*descriptors, **kw)
+        return told.value.code()
+
+    async def __aexit__(self, *_):
+        await self.channel.close()
+        self.front.finish()
+        self.front.close()
+
+
+def codes(response):
+    return [status.code for status in response.statuses]
+
+
+OK, OVER = pb.RateLimitResponse.OK, pb.RateLimitResponse.OVER_LIMIT
+
+
+async def until_over(asking, customer, most=100):
+    for number in range(most):
+        response = await asking.ask(customer)
+        if response.overall_code == OVER:
+            return number, response
+    raise AssertionError("never over its limit")
+
+
+@on_loop
+async def test_units_are_granted_until_the_quota_is_spent_and_requests_spend_of_the_same(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        first = await asking.ask(A)
+        assert first.overall_code == OK and codes(first) == [OK]
+        status = first.statuses[0]
+        assert status.limit_remaining in (19, 20)  # in the middle of a window there is more than its burst
+        limit = status.current_limit
+        assert (limit.requests_per_unit, limit.unit) == (36, pb.RateLimitResponse.RateLimit.HOUR)
+        assert status.current_limit.name == "quota" and status.duration_until_reset.ToNanoseconds() > 0
+        granted, over = await until_over(asking, A)
+        assert 19 <= granted <= 40 and codes(over) == [OVER] and over.statuses[0].limit_remaining == 0
+        assert over.response_headers_to_add[0].key == "retry-after-ms"
+        assert int(over.response_headers_to_add[0].value) > 0
+        # Its requests find the store empty too, and another's are served.
+        assert (await node.ask(command(b"r1", terms(t="quota"), customer=A.encode()))).startswith(b"-BUSY")
+        assert await node.ask(command(b"r2", terms(t="quota"), customer=B.encode())) == SERVED
+        assert len(host.commands) == 1  # a check goes to no host
+
+
+@on_loop
+async def test_any_over_its_limit_makes_the_answer_so_and_the_others_get_theirs_back(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        await until_over(asking, A)
+        before = (await asking.ask({"account": B, "hits": 0})).statuses[0].limit_remaining
+        for _ in range(10):
+            response = await asking.ask(B, A, C)
+            assert response.overall_code == OVER and codes(response) == [OK, OVER, OK]
+        assert (await asking.ask({"account": B, "hits": 0})).statuses[0].limit_remaining == before
+        assert (await asking.ask(B, C)).overall_code == OK
+
+
+@on_loop
+async def test_hits_of_none_one_two_and_more_than_there_are(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        while (await asking.ask(A)).statuses[0].limit_remaining > 18:
+            pass
+        none = [(await asking.ask({"account": A, "hits": 0})).statuses[0].limit_remaining for _ in range(5)]
+        assert len(set(none)) == 1
+        assert (await asking.ask(A, hits=2 ** 32 - 1)).overall_code == OVER
+        assert (await asking.ask({"account": A, "hits": 2 ** 63})).overall_code == OVER
+        two = await asking.ask({"account": A, "cost": "two"})
+        assert two.overall_code == OK
+        left = (await asking.ask({"account": A, "hits": 0})).statuses[0].limit_remaining
+        assert left == none[0] - 2
+        assert (await asking.ask(A, hits=2)).overall_code == OK
+        assert (await asking.ask({"account": A, "hits": 0})).statuses[0].limit_remaining == none[0] - 4
+
+
+@pytest.mark.parametrize("unmapped", ["ok", "over", "error"])
+@on_loop
+async def test_what_maps_to_nobody_gets_the_stated_answer(unmapped, tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node:
+        async with Asking(node, unmapped=unmapped) as asking:
+            if unmapped == "error":
+                assert await asking.status("nobody") == grpc.StatusCode.INVALID_ARGUMENT
+                return
+            response = await asking.ask("nobody", A)
+            assert response.overall_code == (OK if unmapped == "ok" else OVER)
+            assert codes(response) == [OK if unmapped == "ok" else OVER, OK]
+            assert not response.statuses[0].HasField("current_limit")
+
+
+@on_loop
+async def test_what_is_no_question_is_told_so(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        assert await asking.status() == grpc.StatusCode.INVALID_ARGUMENT
+        assert await asking.status(A, domain="") == grpc.StatusCode.INVALID_ARGUMENT
+        assert await asking.status(*[A] * (MOST_DESCRIPTORS + 1)) == grpc.StatusCode.RESOURCE_EXHAUSTED
+        assert await asking.status(*[A] * 10_000) == grpc.StatusCode.RESOURCE_EXHAUSTED
+        big = {"account": A, "more": "x" * (4 << 20)}
+        assert await asking.status(big) == grpc.StatusCode.RESOURCE_EXHAUSTED
+        odd = asking.channel.unary_unary("/no.such.Service/Method", bytes, bytes)
+        with pytest.raises(grpc.aio.AioRpcError) as told:
+            await odd(b"", timeout=5)
+        assert told.value.code() == grpc.StatusCode.UNIMPLEMENTED
+        unread = asking.channel.unary_unary(METHOD, bytes, bytes)
+        with pytest.raises(grpc.aio.AioRpcError) as told:
+            await unread(b"\xff\xff\xff", timeout=5)
+        assert told.value.code() == grpc.StatusCode.INTERNAL
+        assert (await asking.ask(A)).overall_code == OK
+
+
+@on_loop
+async def test_a_check_whose_caller_left_spends_nothing_and_one_out_of_time_is_unavailable(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        core, held = node.node.core, []
+        handle = core.module.handle
+
+        def slow(now, event):  # a module that says nothing of checks yet
+            if type(event) is api.Check:
+                held.append(event)
+                return []
+            return handle(now, event)
+
+        core.module.handle = slow
+        call = asyncio.ensure_future(asking.ask(A))
+        while not held:
+            await asyncio.sleep(0)
+        call.cancel()
+        while core.works:  # the reset arrives
+            await asyncio.sleep(0)
+        core.module.handle = handle
+        assert not asking.front.connections or not any(c.asked for c in asking.front.connections)
+        code = await asking.status(A, timeout=0.06)  # no check would come round in its time
+        assert code in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
+        assert (await asking.ask(A)).overall_code == OK
+
+
+@on_loop
+async def test_calls_called_off_by_the_thousand_leave_nothing(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        for _ in range(20):
+            calls = [asyncio.ensure_future(asking.ask(A, hits=1)) for _ in range(100)]
+            await asyncio.sleep(0)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+        assert (await asking.ask(B)).overall_code == OK
+        assert not node.node.core.works and not any(c.asked for c in asking.front.connections)
+        assert all(c.session.idle for c in asking.front.connections)
+
+
+@on_loop
+async def test_the_end_answers_what_was_taken_and_closes_each_connection(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, settings=CONF) as node, Asking(node) as asking:
+        core, held = node.node.core, []
+        handle = core.module.handle
+        core.module.handle = lambda now, event: (held.append(event) or [] if type(event) is api.Check
+                                                 else handle(now, event))
+        call = asyncio.ensure_future(asking.ask(A))
+        while not held:
+            await asyncio.sleep(0)
+        core.module.handle = handle
+        asking.front.finish()
+        core.granted(api.Granted(held[0].id, 4.0, 1.0, 7))
+        assert (await call).overall_code == OK
+        await asking.front.drained()
--- /dev/null
+++ b/tests/ratelimit/test_wire.py
@@ -0,0 +1,251 @@
+"""gRPC over HTTP/2 without a socket: h2's client on the other side, and bytes that no client would send."""
+
+import h2.config
+import h2.connection
+import h2.events
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from calicomast.fronts.grpc import wire
+from calicomast.fronts.grpc.wire import Call, Gone, Session
+
+PATH = b"/envoy.service.ratelimit.v3.RateLimitService/ShouldRateLimit"
+
+
+def headers(**more):
+    told = {b":method": b"POST", b":scheme": b"http", b":path": PATH, b":authority": b"x", b"te": b"trailers",
+            b"content-type": b"application/grpc"}
+    told |= {name.replace("_", "-").encode(): value for name, value in more.items()}
+    return [(name, value) for name, value in told.items() if value is not None]
+
+
+def framed(message):
+    return b"\0" + len(message).to_bytes(4, "big") + message
+
+
+class Pair:
+    """A session, and a client that hears what it says."""
+
+    def __init__(self):
+        self.session = Session()
+        self.client = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
+        self.client.initiate_connection()
+        self.heard, self.told = [], []
+        self.go()
+
+    def go(self):
+        while True:
+            self.told += self.session.receive(self.client.data_to_send())
+            data = self.session.take()
+            if not data:
+                return
+            self.heard += self.client.receive_data(data)
+
+    def ask(self, message=b"hello", end=True, data=None, **more):
+        number = self.client.get_next_available_stream_id()
+        self.client.send_headers(number, headers(**more))
+        self.client.send_data(number, framed(message) if data is None else data, end_stream=end)
+        self.go()
+        return number
+
+    def status(self, number):
+        """Status and message of a stream's end; None: it has not ended."""
+        for event in self.heard:
+            if isinstance(event, h2.events.ResponseReceived | h2.events.TrailersReceived):
+                told = dict(event.headers)
+                if event.stream_id == number and b"grpc-status" in told:
+                    return int(told[b"grpc-status"]), told.get(b"grpc-message", b"")
+        return None
+
+    def data(self, number):
+        return b"".join(event.data for event in self.heard
+                        if isinstance(event, h2.events.DataReceived) and event.stream_id == number)
+
+
+def test_a_call_and_its_answer():
+    pair = Pair()
+    number = pair.ask(grpc_timeout=b"250m")
+    assert pair.told == [Call(number, PATH.decode(), b"hello", 0.25)]
+    pair.session.answer(number, b"world", [(b"x-more", b"1")])
+    pair.go()
+    assert pair.data(number) == framed(b"world") and pair.status(number) == (0, b"")
+    pair.session.answer(number, b"again")  # once
+    pair.session.fail(number, wire.UNAVAILABLE, "again")
+    pair.go()
+    assert pair.data(number) == framed(b"world") and pair.session.idle
+
+
+@pytest.mark.parametrize("text, seconds", [(b"1S", 1.0), (b"2M", 120.0), (b"3H", 10800.0), (b"50u", 5e-5),
+                                           (b"99999999n", 0.099999999), (b"0S", 0.0), (None, None)])
+def test_time_outs(text, seconds):
+    pair = Pair()
+    pair.ask(grpc_timeout=text)
+    told = pair.told[0].timeout
+    assert told is seconds if seconds is None else told == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize("what, status", [
+    (dict(grpc_timeout=b"soon"), wire.INTERNAL), (dict(grpc_timeout=b"123456789S"), wire.INTERNAL),
+    (dict(grpc_timeout=b"-1S"), wire.INTERNAL), (dict(grpc_encoding=b"gzip"), wire.UNIMPLEMENTED),
+    (dict(data=b"\1\0\0\0\1x"), wire.UNIMPLEMENTED), (dict(data=framed(b"a") * 2), wire.INTERNAL),
+    (dict(data=framed(b"abc")[:-1]), wire.INTERNAL), (dict(data=b"\0\0"), wire.INTERNAL),
+    (dict(data=b""), wire.INTERNAL), (dict(data=b"\0\xff\xff\xff\xff", end=False), wire.RESOURCE_EXHAUSTED)])
+def test_what_is_no_call_is_refused_and_the_next_is_taken(what, status):
+    pair = Pair()
+    number = pair.ask(**what)
+    assert pair.status(number)[0] == status and not pair.told and pair.session.idle
+    number = pair.ask()
+    assert [call.stream for call in pair.told] == [number]
+
+
+@pytest.mark.parametrize("more", [{"content_type": b"text/html"}, {"content_type": None}])
+def test_what_is_no_grpc_is_told_so_in_http(more):
+    pair = Pair()
+    pair.ask(**more)
+    told = next(event for event in pair.heard if isinstance(event, h2.events.ResponseReceived))
+    assert dict(told.headers)[b":status"] == b"415" and not pair.told
+
+
+def test_a_message_is_put_together_and_one_of_four_megabytes_is_not_kept():
+    pair = Pair()
+    number = pair.ask(end=False, data=framed(b"hello")[:3])
+    for byte in framed(b"hello")[3:]:
+        pair.client.send_data(number, bytes([byte]))
+        pair.go()
+    assert not pair.told
+    pair.client.end_stream(number)
+    pair.go()
+    assert pair.told[0].message == b"hello"
+    big = pair.ask(end=False, data=b"\0" + (4 << 20).to_bytes(4, "big") + b"x" * 1000)
+    assert pair.status(big)[0] == wire.RESOURCE_EXHAUSTED and not pair.session.coming
+
+
+def test_calls_that_are_called_off_by_the_thousand():
+    pair = Pair()
+    for _ in range(3000):
+        number = pair.ask()
+        pair.client.reset_stream(number)
+        pair.go()
+        assert pair.told[-1] == Gone(number)
+        pair.session.answer(number, b"too late")
+    assert pair.session.idle and len(pair.told) == 6000
+    assert pair.ask() == pair.told[-1].stream
+
+
+def test_more_streams_than_are_allowed_end_the_connection_and_its_calls():
+    pair = Pair()
+    for _ in range(wire.MOST_STREAMS):
+        pair.ask()
+    raw = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
+    raw.initiate_connection()
+    session = Session()
+    told = []
+    for _ in range(wire.MOST_STREAMS + 1):  # a client that has not heard the limit yet
+        number = raw.get_next_available_stream_id()
+        raw.send_headers(number, headers())
+        raw.send_data(number, framed(b"x"), end_stream=True)
+        told += session.receive(raw.data_to_send())
+    calls = [one.stream for one in told if isinstance(one, Call)]
+    assert len(calls) == wire.MOST_STREAMS and len(pair.told) == wire.MOST_STREAMS
+    assert session.over and [one.stream for one in told if isinstance(one, Gone)] == calls
+
+
+def test_a_client_that_opens_no_window_is_cut_off_before_it_fills_memory():
+    pair = Pair()
+    pair.client.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 0})
+    pair.go()
+    for _ in range(100):
+        number = pair.ask()
+        pair.session.answer(number, b"x" * 60_000)
+        if pair.session.over:
+            break
+    kept = sum(len(data) for data, _ in pair.session.waiting.values())
+    assert pair.session.over and kept <= wire.MOST_WAITING + 60_005
+
+
+def test_an_answer_waits_for_the_window_and_goes_on():
+    pair = Pair()
+    pair.client.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 10})
+    pair.go()
+    number = pair.ask()
+    pair.session.answer(number, b"y" * 100)
+    pair.go()
+    assert len(pair.data(number)) == 10 and pair.status(number) is None
+    pair.client.increment_flow_control_window(200, number)
+    pair.go()
+    assert pair.data(number) == framed(b"y" * 100) and pair.status(number) == (0, b"")
+
+
+def test_the_end_lets_what_was_taken_be_answered_and_takes_nothing_new():
+    pair = Pair()
+    number = pair.ask()
+    pair.session.finish()
+    data = pair.session.take()
+    assert not pair.session.over
+    raw = pair.client
+    late = raw.get_next_available_stream_id()
+    raw.send_headers(late, headers())  # sent before the client hears that it ends
+    raw.send_data(late, framed(b"late"), end_stream=True)
+    assert not pair.session.receive(raw.data_to_send()) and data
+    pair.session.answer(number, b"in time")
+    assert pair.session.take() and pair.session.over
+
+
+def test_what_is_called_off_in_the_bytes_that_it_came_with_is_no_harm():
+    pair = Pair()
+    client = pair.client
+    client.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 2})
+    pair.go()
+    held = pair.ask()
+    pair.session.answer(held, b"waits")
+    for data in (b"\1\0\0\0\1x", framed(b"x") * 2, framed(b"x")):
+        number = client.get_next_available_stream_id()
+        client.send_headers(number, headers())
+        client.send_data(number, data)
+        client.reset_stream(number)
+    for odd in (dict(grpc_timeout=b"soon"), dict(content_type=b"x")):
+        number = client.get_next_available_stream_id()
+        client.send_headers(number, headers(**odd))
+        client.reset_stream(number)
+    client.increment_flow_control_window(100, held)
+    client.reset_stream(held)
+    pair.go()
+    assert pair.session.idle and not pair.session.over
+    assert pair.ask() == pair.told[-1].stream
+
+
+def test_a_text_is_told_as_it_is_however_odd():
+    pair = Pair()
+    number = pair.ask()
+    pair.session.fail(number, wire.UNAVAILABLE, "50% é\n")
+    pair.go()
+    assert pair.status(number) == (wire.UNAVAILABLE, b"50%25 %C3%A9%0A")
+
+
+@seed(14)
+@settings(max_examples=150, deadline=None, database=None)
+@given(st.lists(st.integers(1, 400), max_size=12), st.binary(max_size=60), st.integers(0, 600))
+def test_whatever_comes_and_however_it_is_cut_it_is_read_or_over(cuts, noise, place):
+    client = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
+    client.initiate_connection()
+    for _ in range(4):
+        number = client.get_next_available_stream_id()
+        client.send_headers(number, headers())
+        client.send_data(number, framed(b"x" * 50), end_stream=True)
+    stream = bytearray(client.data_to_send())
+    if noise:
+        stream[min(place, len(stream)):min(place, len(stream)) + len(noise)] = noise
+    session, told, at = Session(), [], 0
+    for cut in [*cuts, len(stream)]:
+        if at < len(stream) and not session.over:
+            told += session.receive(bytes(stream[at:at + cut]))
+        at += cut
+        session.take()
+    calls = [one.stream for one in told if isinstance(one, Call)]
+    assert len(calls) == len(set(calls)) <= 4
+    if not noise and sum(cuts) >= 0:
+        assert len(calls) == 4 or at < len(stream)
+    for number in calls:
+        session.answer(number, b"x") if not session.over else None
+    session.take()
