--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -1,6 +1,7 @@
 """What does a request cost the gateway in CPU, beside the commit before and beside a bare relay?
 
-    python benchmarks/request_cost.py --before REV [--rounds 5] [--requests 20000] [--json FILE]
+    python benchmarks/request_cost.py --before REV [--rounds 5] [--requests 20000] [--hosts 9]
+        [--customers 97] [--json FILE]
 
 Three programs in turn on one core: this tree's `python -m calicomast.net`, that of REV (checked out into a
 folder of its own), and a relay on the same loop that only passes bytes from a client to a host and back. Load
@@ -36,7 +37,8 @@
 from calicomast.standins.hosts import VALUE  # noqa: E402
 from calicomast.standins.platform import configuration, entry  # noqa: E402
 
-CONNECTIONS, HOSTS, WARM = 24, 9, 2000
+CONNECTIONS, WARM = 24, 2000
+CUSTOMERS = 97
 TICKS = os.sysconf("SC_CLK_TCK")
 RELAY = """
 import asyncio, sys, uvloop
@@ -115,7 +117,7 @@
 
     def command(self) -> bytes:
         self.number += 1
-        customer = b"%016x" % (self.number % 97 + 1)
+        customer = b"%016x" % (self.number % CUSTOMERS + 1)
         terms = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
         return b"*4\r\n$8\r\nAPI.READ\r\n$16\r\n%s\r\n$10\r\n%010d\r\n$%d\r\n%s\r\n" % (
             customer, self.number + time.monotonic_ns() % 10 ** 9, len(terms), terms)
@@ -190,9 +192,9 @@
         self.process.wait()
 
 
-async def measure(before: str, rounds: int, requests: int) -> dict[str, Any]:
+async def measure(before: str, rounds: int, requests: int, fleet: int) -> dict[str, Any]:
     loop = asyncio.get_running_loop()
-    hosts = [await loop.create_server(FastHost, "127.0.0.1", 0) for _ in range(HOSTS)]
+    hosts = [await loop.create_server(FastHost, "127.0.0.1", 0) for _ in range(fleet)]
     ports = [host.sockets[0].getsockname()[1] for host in hosts]
     entries = [entry(f"h{n}", port) for n, port in enumerate(ports)]
     folder = Path(tempfile.mkdtemp(prefix="request-cost-"))
@@ -207,16 +209,17 @@
             subprocess.run(["tar", "-x"], cwd=old, input=archive, check=True)
             for name, tree in (("now", ROOT), ("before", old)):
                 port = free_port()
-                told = configuration(entries, discovery.port, counter.port) | {"listen": f"127.0.0.1:{port}"}
+                told = configuration(entries, discovery.port, counter.port) | {
+                    "listen": f"127.0.0.1:{port}",
+                    "limits": {"cores": 1.0, "memory_mb": 2000, "sockets": 1024 + 4 * fleet}}
                 file = folder / f"{name}.json"
                 file.write_text(json.dumps(told))
                 programs.append(Program(name, [sys.executable, "-B", "-m", "calicomast.net"], tree,
                                         {"RELAY_CONFIG": str(file)}, port))
                 await programs[-1].ready(True)
             port = free_port()
-            programs.append(Program("relay", [sys.executable, "-c", RELAY, str(port), *map(str, ports)], ROOT,
-                                    {},
-                                    port))
+            relay = [sys.executable, "-c", RELAY, str(port), *map(str, ports[:100])]
+            programs.append(Program("relay", relay, ROOT, {}, port))
             os.sched_setaffinity(0, os.sched_getaffinity(0) - {min(os.sched_getaffinity(0))})
             await programs[-1].ready(False)
             for program in programs:
@@ -245,9 +248,13 @@
     parser.add_argument("--before", required=True, metavar="REV")
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--requests", type=int, default=20_000)
+    parser.add_argument("--hosts", type=int, default=9)
+    parser.add_argument("--customers", type=int, default=97)
     parser.add_argument("--json", metavar="FILE")
     told = parser.parse_args()
-    figures = uvloop.run(measure(told.before, told.rounds, told.requests))
+    global CUSTOMERS
+    CUSTOMERS = told.customers
+    figures = uvloop.run(measure(told.before, told.rounds, told.requests, told.hosts))
     print(f"{'':8} {'CPU us':>8} {'now/it':>7} {'kB':>7} {'fds':>4} {'start s':>8}")
     for name, us in figures["cpu_us"].items():
         ratio = figures["ratio"].get(name, 1.0)
