--- a/build/lib/calicomast/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""An api gateway whose quotas hold over all gateways by leases on a counter service."""
-
-__version__ = "0.2.0"
--- a/build/lib/calicomast/cli/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The command line."""
--- a/build/lib/calicomast/counting/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The counter service's clients."""
--- a/build/lib/calicomast/fronts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Client protocols, one package each: bytes to the core's requests, its answers to bytes."""
--- a/build/lib/calicomast/fronts/resp/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""RESP2, as the platform's clients speak it."""
--- a/build/lib/calicomast/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-in outside systems on loopback, scripted."""
--- a/build/lib/calicomast/tools/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Programs of their own over public interfaces: demo, later load generator and planner."""
