A connection that raises leaves none behind it unread

In overload connections wait their turn to be read. Had one raised when its turn came, those behind it would have stayed unread until some other connection asked, since nothing was left to call them.

The rest is called in the next turn now, whatever one does.

--- a/calicomast/core/door.py
+++ b/calicomast/core/door.py
@@ -69,10 +69,12 @@
     def turned(self) -> None:
         """A new turn of the loop: those that wait go on, one after another."""
         self.reading, self.over = 0.0, False
-        while self.waiting and not self.over:
-            self.waiting.popleft()()
-        if self.waiting and not self.reading:
-            self.loop.call_soon(self.turned)
+        try:
+            while self.waiting and not self.over:
+                self.waiting.popleft()()
+        finally:  # one that raises must not leave those behind it unread
+            if self.waiting and not self.reading:
+                self.loop.call_soon(self.turned)
 
     def told(self, customer: str, wait: float) -> None:
         if self.gate.tight:
--- a/tests/core/test_door.py
+++ b/tests/core/test_door.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import pytest
 from test_life import Scheduler
 
 from calicomast.core.door import BEAT, QUANTUM, QUIET, Door
@@ -69,6 +70,19 @@
     assert not w.loop.soon  # at rest nothing is left to be called
 
 
+def test_a_connection_that_raises_leaves_none_behind_it_waiting():
+    w, read = World(), []
+
+    def broken():
+        raise RuntimeError("the connection is broken")
+
+    w.door.waiting.extend([broken, lambda: read.append("next")])
+    with pytest.raises(RuntimeError):
+        w.door.turned()
+    w.turn()
+    assert read == ["next"] and not w.door.waiting
+
+
 def test_what_waits_is_told_to_the_gate():
     w = World()
     w.ask(came=w.now - 0.5)
