--- a/tests/faults/test_workers.py
+++ b/tests/faults/test_workers.py
@@ -63,11 +63,7 @@
             await until(lambda: len(children(program)) == 3 and workers[1] not in children(program),
                         "made anew")
             await load.served(100)
-            load.task.cancel()
-            await asyncio.gather(load.task, return_exceptions=True)
-            while load.traffic.tasks:
-                await asyncio.wait(list(load.traffic.tasks))
-            load.client.close()
+            await load.end()
         # What a worker had accepted dies with it, as with a machine: the client's connection ends or its
         # time does.
         # No other rule gives way.
@@ -283,11 +279,7 @@
         third = await successor(site, "--workers", "3")  # and the next one can
         assert await drained(first) == 0
         await load.served(30)
-        load.task.cancel()
-        await asyncio.gather(load.task, return_exceptions=True)
-        while load.traffic.tasks:
-            await asyncio.wait(list(load.traffic.tasks))
-        load.client.close()
+        await load.end()
         # A supervisor that is killed is more than a hand-over that fails: its workers end, and clients see
         # it.
         for verdict in ledger.judge():
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -140,12 +140,16 @@
         while len(self.traffic.latency) < until:
             await asyncio.sleep(0.01)
 
-    async def __aexit__(self, kind, *_):
+    async def end(self):
+        """Asks nothing more, and waits for what was asked."""
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
         while self.traffic.tasks:
             await asyncio.wait(list(self.traffic.tasks))
         self.client.close()
+
+    async def __aexit__(self, kind, *_):
+        await self.end()
         if kind is None:
             verdicts = self.ledger.judge()
             assert all(v.kept for v in verdicts), report(verdicts)
