--- /dev/null
+++ b/calicomast/asking/__init__.py
@@ -0,0 +1,2 @@
+"""Asking an outer rate limit service before a request is sent on (docs/design/grpc.md). Loaded where settings
+name one."""
--- a/calicomast/checked.py
+++ b/calicomast/checked.py
@@ -141,7 +141,7 @@
         if not isinstance(tree, dict):
             self.fault(path, tree, "is no table", f"write [{written(path)}] and its keys under it")
             return
-        known = {field.name: field for field in msgspec.structs.fields(kind)}
+        known = {field.encode_name: field for field in msgspec.structs.fields(kind)}
         for name in tree.keys() - known.keys():
             near = difflib.get_close_matches(str(name), known, 1, 0.6)
             self.fault((*path, name), tree[name], "unknown key",
--- a/calicomast/cli/check.py
+++ b/calicomast/cli/check.py
@@ -16,6 +16,8 @@
         told, config = read(path)
         if told.plugins or told.records.file:
             importlib.import_module("calicomast.daemon.plugins").check(path, told, config.settings)
+        if config.grpc or told.ratelimit.token_keys or told.ask.address:
+            importlib.import_module("calicomast.daemon.ratelimit").build(path, told, config)
     except (Faulty, ConfigError) as err:
         print(err, file=sys.stderr)
         return UNUSABLE
--- a/calicomast/core/life.py
+++ b/calicomast/core/life.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from calicomast import interface as api
@@ -28,6 +29,7 @@
     Membership,
     Module,
     Order,
+    Outer,
     Place,
     Scheduler,
 )
@@ -72,7 +74,7 @@
     """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
 
     __slots__ = ("id", "place", "order", "front", "deadline", "guard", "sends", "live", "over", "hooked",
-                 "mark", "customer")
+                 "mark", "customer", "asked")
 
     def __init__(self, id: str, place: Place, order: Order, front: object, deadline: float) -> None:
         self.id, self.place, self.order, self.front, self.deadline = id, place, order, front, deadline
@@ -83,6 +85,7 @@
         self.hooked: Hooked | None = None
         self.mark = -1
         self.customer = ""
+        self.asked: Any = None  # what the outer service is asked about it
 
 
 class Core:
@@ -97,6 +100,7 @@
         self.hooks: Hooks | None = None
         self.marks: Marks | None = None
         self.door: Door | None = None
+        self.outer: Outer | None = None
         self.loop, self.clock = loop, clock or Clock()
         self.open, self.held = Budget(max_open), Budget(most_held)
         self.works: dict[str, Work] = {}
@@ -148,16 +152,45 @@
         self.open.take(front, 1)
         self.held.take(front, order.size)
         work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
-        hooks = None if order is NOTHING else self.hooks
-        self.feed(request if hooks is None else self.asked(hooks, work, request))
+        if order is NOTHING:
+            self.feed(request)
+            return
+        event = request if self.hooks is None else self.asked(self.hooks, work, request)
+        if self.outer is not None and isinstance(event, api.Request) and self.outer.wanted(event):
+            self.ask(self.outer, work, event)
+        else:
+            self.feed(event)
 
     def check(self, front: object, check: api.Check, place: CheckPlace) -> None:
-        """As `take`, for units that no host is asked for. Plug-ins are not asked about it."""
+        """As `take`, for units that no host is asked for. Neither plug-ins nor an outer service are asked
+        about it."""
         self.take(front, check, NOTHING, place)
 
-    def give_back(self, customer: str, told: api.Granted, units: float) -> None:
+    def give_back(self, check: api.Check, told: api.Granted) -> None:
         """What a check was granted was not used: another of the same question was denied."""
-        self.feed(api.GiveBack(customer, units, told.window))
+        kind = api.Unreserve if isinstance(check, api.Reserve) else api.GiveBack
+        self.feed(kind(check.customer, check.units, told.window))
+
+    def ask(self, outer: Outer, work: Work, request: api.Request) -> None:
+        """The module hears of it once the outer service has let it pass, or has failed to say anything and
+        settings let it pass then. Until that it holds its place, and its guard answers it in time."""
+
+        def decided(go_on: bool, wait: float) -> None:
+            work.asked = None
+            if work.over:
+                return
+            if go_on:
+                left = work.deadline - time.monotonic()
+                self.feed(replace(request, left=left))
+            else:
+                self.feed(api.Barred(work.id, wait))
+
+        try:
+            work.asked = outer.ask(request, request.left, decided)
+        except Exception:  # one that raises has said nothing
+            log.exception("request %s: the outer service could not be asked", work.id)
+            if not work.over:
+                self.feed(request)
 
     def in_work(self, id: str, write: bool) -> bool:
         """Whether this id may be running: a refusal, which says that it did not run, would not be true."""
@@ -228,6 +261,9 @@
         work.over = True
         if work.guard is not None:
             work.guard.cancel()
+        if work.asked is not None and self.outer is not None:
+            self.outer.call_off(work.asked)
+            work.asked = None
         if outcome != "gone":
             try:
                 getattr(work.place, outcome)(*told)
--- a/calicomast/core/ports.py
+++ b/calicomast/core/ports.py
@@ -115,6 +115,19 @@
         """Before the module hears of a request: what it is to hear."""
 
 
+class Outer(Protocol):
+    """A service that is asked about some requests before the module hears of them. It can only tighten."""
+
+    def wanted(self, request: api.Request) -> bool: ...
+
+    def ask(self, request: api.Request, left: float, decided: Callable[[bool, float], None]) -> Any:
+        """`left`: s that the request has. `decided` is called once, with whether it may go on, else the
+        seconds until it may come again. What it returns is for `call_off`; None: it is decided already."""
+
+    def call_off(self, asked: Any) -> None:
+        """The request is over: `decided` is not called any more."""
+
+
 class Marks(Protocol):
     """Writes in work at this gateway and at those that clients cannot tell from it."""
 
--- a/calicomast/daemon/config.py
+++ b/calicomast/daemon/config.py
@@ -38,6 +38,7 @@
     idle_close: float  # hosts close a connection that has stood idle for this long
     max_open: int  # requests in work at once
     more: tuple[Address, ...] = ()  # further listeners
+    grpc: frozenset[Address] = frozenset()  # those that speak gRPC; the others speak RESP2
     hosts_file: str | None = None  # in place of a discovery
     registry: Registry | None = None  # likewise
     trust: Trust | None = None  # what of a discovery's lists is believed; None: all
--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import logging
 import socket
 import time
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -23,6 +24,8 @@
 
 if TYPE_CHECKING:
     from calicomast.core.door import Door
+    from calicomast.daemon.ratelimit import Built, RateLimits
+    from calicomast.fronts.grpc.front import GrpcFront
     from calicomast.hooks.live import Hooks as Plugins
     from calicomast.membership.judge import Judge
     from calicomast.overload import Gate
@@ -52,9 +55,10 @@
 
 
 class GatewayNode:
-    """`start`, `reload`, `stop`; for a hand-over `prepare`, `begin`, `pause`, `resume` in their place."""
+    """`start`, `reload`, `stop`; for a hand-over `prepare`, `begin`, `pause`, `resume` in their place.
+    `limits`: what is to be built of a rate limit service; None: nothing of it is loaded."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, limits: Built | None = None) -> None:
         self.config, self.loop = config, asyncio.get_running_loop()
         # Connections, half of them clients'.
         self.room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
@@ -70,9 +74,13 @@
         self.listed_at = time.monotonic()
         self.known = asyncio.Event()  # there are hosts
         self.gate: Gate | None = None
-        self.fronts: list[RespFront] = []
+        self.fronts: list[RespFront | GrpcFront] = []
         self.open_door(config)
-        self.fronts = [self.front(address) for address in (config.listen, *config.more)]
+        self.limits = self.made(limits) if limits is not None else None
+        if self.limits is not None:
+            self.limits.take_up(limits)
+        self.fronts = [self.front(address, config, self.limits, limits)
+                       for address in (config.listen, *config.more)]
         self.core.membership = self.discovery = self.source(config, config.known.hosts.version)
         self.plugins: Plugins | None = None
         self.endings: set[asyncio.Task[None]] = set()  # what a reload replaced, until it has ended
@@ -80,8 +88,19 @@
     def module(self) -> Gateway:
         return Gateway(self.config.settings, self.config.seed, self.clock())
 
-    def front(self, address: Address) -> RespFront:
-        return RespFront(self.core, self.room // 2, self.most_held, address, self.config.span)
+    def made(self, built: Built) -> RateLimits:
+        module = importlib.import_module("calicomast.daemon.ratelimit")  # only where settings want it
+        limits: RateLimits = module.RateLimits(self, built)
+        return limits
+
+    def front(self, address: Address, config: Config, limits: RateLimits | None = None,
+              built: Built | None = None) -> RespFront | GrpcFront:
+        if address in config.grpc:
+            assert limits is not None and built is not None
+            return limits.front(address, self.room // 2, self.most_held, built)
+        front = RespFront(self.core, self.room // 2, self.most_held, address, config.span)
+        front.take_tokens(limits.tokens if limits is not None else None)
+        return front
 
     def open_door(self, config: Config) -> None:
         """What is turned away early while the core is short, as the settings have it: not on the platform."""
@@ -105,8 +124,7 @@
     def share(self) -> None:
         """Fronts have even parts of the connections and of the bytes of half commands."""
         for front in self.fronts:
-            front.server.most = self.room // 2 // len(self.fronts)
-            front.server.most_partial = self.most_held // len(self.fronts)
+            front.share(self.room // 2 // len(self.fronts), self.most_held // len(self.fronts))
 
     def source(self, config: Config, version: int) -> Source:
         if config.hosts_file is not None:
@@ -191,7 +209,8 @@
 
     # Reload of our own settings: what is built is swapped in here, and cannot fail any more
 
-    def swap(self, config: Config, added: list[RespFront], gone: set[Address], source: Source | None) -> None:
+    def swap(self, config: Config, added: Sequence[RespFront | GrpcFront], gone: set[Address],
+             source: Source | None, limits: RateLimits | None = None, built: Built | None = None) -> None:
         old, self.config = self.config, config
         if config.counter != old.counter and self.counter and config.counter:
             self.counter.move(config.counter)
@@ -200,13 +219,18 @@
         self.core.open.most = config.max_open
         self.open_door(config)
         leaving = [front for front in self.fronts if front.address in gone]
-        self.fronts = [front for front in self.fronts if front.address not in gone] + added
+        self.fronts = [*(front for front in self.fronts if front.address not in gone), *added]
         self.share()
+        if limits is not None:
+            self.limits = limits
+            limits.take_up(built)
         for front in leaving:
+            if limits is not None:
+                limits.left(front)
             front.finish()
             self.ending(self.left(front))
 
-    async def left(self, front: RespFront) -> None:
+    async def left(self, front: RespFront | GrpcFront) -> None:
         """A front whose listener is gone: what it took is answered, then its connections end."""
         await front.drained()
         front.close()
@@ -237,6 +261,11 @@
         """For `calicomast plugin status`."""
         return self.plugins.told() if self.plugins is not None else {"plugins": [], "records": None}
 
+    def limits_told(self) -> dict[str, Any]:
+        """For `calicomast ratelimit status`."""
+        return self.limits.told() if self.limits is not None else {"listeners": [], "tokens": None,
+                                                                   "outer": None}
+
     def source_name(self) -> str:
         if self.config.hosts_file is not None:
             return f"file {self.config.hosts_file}"
@@ -280,6 +309,8 @@
         """After SIGTERM: goes on while connections still come, then finishes what it has taken."""
         began = time.monotonic()
         self.core.stopping = True
+        for front in self.fronts:
+            front.stopping()
         await asyncio.sleep(self.config.linger if linger is None else linger)
         for front in self.fronts:
             front.finish()
@@ -297,6 +328,8 @@
         await self.discovery.close()
         if self.plugins is not None:
             self.plugins.close()
+        if self.limits is not None:
+            self.limits.close()
         for ending in list(self.endings):
             ending.cancel()
         await asyncio.gather(*self.endings, return_exceptions=True)
--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -32,6 +32,8 @@
 from calicomast.net.address import Address, read_address, write_address
 
 if TYPE_CHECKING:
+    from calicomast.daemon.ratelimit import Built
+    from calicomast.fronts.grpc.front import GrpcFront
     from calicomast.membership.eureka.registration import Registration
 
 OK, FAILED, UNUSABLE, TRY_AGAIN = 0, 1, 2, 75  # exit codes; the last as in sysexits.h
@@ -118,7 +120,7 @@
             if address not in self.sockets:
                 self.sockets[address] = bind(address)
         plugins = await self.build_plugins(self.settings)  # raises before anything is served
-        self.node = GatewayNode(self.config)
+        self.node = GatewayNode(self.config, await self.build_limits(self.settings, self.config))
         self.node.core.marks = share.in_flight() if share is not None else None
         if plugins is not None:
             self.plugins().start(self.node, plugins, self.settings.hooks.tick)
@@ -148,6 +150,7 @@
                                  self.succeeded, self.settings.daemon.handover_wait)
             self.keeper.questions["hosts"] = self.node.hosts_believed
             self.keeper.questions["plugins"] = self.node.plugins_told
+            self.keeper.questions["ratelimit"] = self.node.limits_told
             self.keeper.open()
         if self.registration is not None:
             self.registration.up()
@@ -170,6 +173,15 @@
         return await asyncio.to_thread(self.plugins().build, self.path, settings, self.config.settings, old,
                                        self.settings.records)
 
+    async def build_limits(self, settings: Settings, config: Config) -> Built | None:
+        """The rate limit service, and an outer one, beside the loop; None where settings want neither. Raises
+        Faulty."""
+        if not (config.grpc or settings.ratelimit.token_keys or settings.ask.address):
+            return None
+        module = importlib.import_module("calicomast.daemon.ratelimit")
+        built: Built | None = await asyncio.to_thread(module.build, self.path, settings, config)
+        return built
+
     async def inherit(self, state: str) -> dict[Address, socket.socket]:
         if not state:
             raise HandOverFailed("daemon.state names no folder, so there is nobody to take over from")
@@ -257,7 +269,14 @@
             for line in str(err).splitlines():
                 log.error("%s", line)
             return "refused, the old settings stay"
+        moved = {*self.config.grpc} ^ {*config.grpc}
+        both = {self.config.listen, *self.config.more} & {config.listen, *config.more}
+        for address in moved & both:
+            log.error("%s: listeners: %s: its protocol changes by a restart or a hand-over only", self.path,
+                      write_address(address))
+            return "refused, the old settings stay"
         try:
+            built_limits = await self.build_limits(settings, config)
             plugins = await self.build_plugins(settings)
         except Faulty as err:
             for line in str(err).splitlines():
@@ -265,7 +284,7 @@
             return "refused, the old settings stay"
         live, restart = changed(self.settings, settings)
         if not os.environ.get("RELAY_CONFIG"):
-            config = replace(self.config, more=config.more, listen=config.listen,
+            config = replace(self.config, more=config.more, listen=config.listen, grpc=config.grpc,
                              hosts_file=config.hosts_file,
                              discovery=config.discovery, registry=config.registry, trust=config.trust,
                              counter=config.counter if self.config.counter else None,
@@ -273,13 +292,16 @@
                              linger=config.linger, finish=config.finish)
         addresses = [config.listen, *config.more]
         built: dict[Address, socket.socket] = {}
-        fronts: list[RespFront] = []
+        fronts: list[RespFront | GrpcFront] = []
+        limits = self.node.limits
+        if limits is None and built_limits is not None:
+            limits = self.node.made(built_limits)
         try:
             for address in addresses:
                 if address not in self.sockets:
                     built[address] = bind(address)
             for address, sock in built.items():
-                front = self.node.front(address)
+                front = self.node.front(address, config, limits, built_limits)
                 fronts.append(front)
                 await front.listen(sock.dup())
             source = self.source(config)
@@ -291,6 +313,8 @@
             for front in fronts:
                 front.finish()
                 front.close()
+                if limits is not None:
+                    limits.left(front)
             for sock in built.values():
                 sock.close()
             if isinstance(err, Faulty):
@@ -304,7 +328,11 @@
         gone = self.sockets.keys() - set(addresses)
         if os.environ.get("RELAY_CONFIG"):
             self.node.reload(config)
-        self.node.swap(config, fronts, gone, source)
+        reread = ""
+        if limits is not None:
+            module = importlib.import_module("calicomast.daemon.ratelimit")
+            reread = module.compared(limits.built, built_limits)
+        self.node.swap(config, fronts, gone, source, limits, built_limits)
         for address in gone:
             self.sockets.pop(address).close()
         self.sockets.update(built)
@@ -314,7 +342,7 @@
         if self.keeper is not None:
             self.keeper.wait = settings.daemon.handover_wait
         parts = [f"took effect: {', '.join(live)}"] if live else []
-        parts += [status] if status else []
+        parts += [one for one in (status, reread) if one]
         parts += [f"needs a restart or a hand-over: {', '.join(restart)}"] if restart else []
         return "; ".join(parts) or "nothing changed"
 
--- a/calicomast/daemon/settings.py
+++ b/calicomast/daemon/settings.py
@@ -9,14 +9,17 @@
 
 import os
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 
 from calicomast import interface as api
+from calicomast.asking.settings import AskPart
 from calicomast.checked import Faulty, Part, Path, Reader, read_toml
 from calicomast.daemon.config import Config
+from calicomast.fronts.grpc.mapping import TAKEN, BadRule, Mapping, Rule
+from calicomast.fronts.grpc.settings import RateLimitPart, RulePart
 from calicomast.hooks.settings import HooksPart, PluginPart, RecordsPart
 from calicomast.membership.belief import Trust
 from calicomast.membership.file import read_hosts
@@ -33,6 +36,7 @@
 Many = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 ACCOUNT = 700  # bytes that the module keeps of a customer (benchmarks/module_cost.py)
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
+ASK_FIELDS = ("customer", "plan", "class", "units", "gateway")  # of a request, for ask.entries
 
 
 class GatewayPart(Part, frozen=True, kw_only=True):
@@ -44,7 +48,7 @@
 
 
 class ListenerPart(Part, frozen=True, kw_only=True):
-    protocol: Literal["resp"] = "resp"
+    protocol: Literal["resp", "grpc"] = "resp"
     address: str = "127.0.0.1:6379"
 
 
@@ -208,12 +212,14 @@
     plugins: list[PluginPart] = []
     hooks: HooksPart = HooksPart()
     records: RecordsPart = RecordsPart()
+    ratelimit: RateLimitPart = RateLimitPart()
+    ask: AskPart = AskPart()
 
 
 # What a reload takes up. All else holds from the next start on, or the next hand-over.
 LIVE = ("listeners", "hosts.source", "hosts.file", "hosts.discovery", "eureka", "trust", "counter.address",
         "limits.max_open", "overload", "plugins", "hooks", "records",
-        "daemon.linger", "daemon.finish", "daemon.handover_wait", "daemon.log_lines")
+        "ratelimit", "ask", "daemon.linger", "daemon.finish", "daemon.handover_wait", "daemon.log_lines")
 # what may be told beside the platform's RELAY_CONFIG
 BESIDE = ("listeners", "daemon", "plugins", "hooks", "records")
 
@@ -246,6 +252,9 @@
                                  "give each its own port")
         elif address is not None:
             addresses[address] = f"listeners[{number}]"
+        if beside and listener.protocol != "resp":
+            reader.fault(("listeners", number, "protocol"), listener.protocol, "beside RELAY_CONFIG there is "
+                         "nothing to say whose a check is", "let it be \"resp\"")
     if beside:
         return
     for name, what in (("listeners", "one [[listeners]]"), ("plans", "[plans.NAME] with rate and burst"),
@@ -278,6 +287,69 @@
         check_class(reader, ("classes", name), cls, told.daemon.finish)
     for name, plan in told.plans.items():
         check_plan(reader, ("plans", name), plan, told.limits.max_units)
+    check_ratelimit(reader, told)
+    check_ask(reader, told)
+
+
+def check_ratelimit(reader: Reader, told: Settings) -> None:
+    part, bad = told.ratelimit, reader.contradiction
+    serves = [n for n, listener in enumerate(told.listeners) if listener.protocol == "grpc"]
+    if serves and not part.rules:
+        bad(("listeners", serves[0], "protocol"), "grpc", "no rule says whose a check is",
+            "add [[ratelimit.rules]] with domain, entries, customer, plan and class")
+    try:
+        mapping_of(part, told.plans, told.classes, told.gateway.gateways)
+    except BadRule as err:
+        number = err.args[1]
+        rule = msgspec.to_builtins(part.rules[number])
+        bad(("ratelimit", "rules", number, err.key), rule[err.key], str(err.args[0]),
+            "mend the rule: docs/operate/ratelimit.md")
+    for number, rule in enumerate(part.rules):
+        if rule.token and not part.token_keys:
+            bad(("ratelimit", "rules", number, "token"), True, "there is no key to sign tokens with",
+                "name files with keys in ratelimit.token_keys")
+    if bool(part.tls.cert) != bool(part.tls.key):
+        what = "key" if part.tls.cert else "cert"
+        bad(("ratelimit", "tls", what), "", "a certificate and its key go together", "name both files")
+    elif part.tls.client_ca and not part.tls.cert:
+        bad(("ratelimit", "tls", "client_ca"), part.tls.client_ca,
+            "without TLS no client shows a certificate", "name cert and key")
+
+
+def check_ask(reader: Reader, told: Settings) -> None:
+    part, bad = told.ask, reader.contradiction
+    if part.address:
+        check_address(reader, ("ask", "address"), part.address)
+        if not (part.plans or part.classes):
+            bad(("ask", "plans"), None, "nothing is asked about", "name plans or classes")
+    for what, known in (("plans", told.plans), ("classes", told.classes)):
+        for name in getattr(part, what):
+            if name not in known:
+                bad(("ask", what), name, f"there is no such one of [{what}]",
+                    f"known: {', '.join(known) or 'none'}")
+    for entry in part.entries:
+        odd = [name for name in TAKEN.findall(entry.partition("=")[2]) if name not in ASK_FIELDS]
+        if odd:
+            bad(("ask", "entries"), entry, f"{{{odd[0]}}} is nothing of a request",
+                f"known: {', '.join(ASK_FIELDS)}")
+    if part.most_rest < part.rest:
+        bad(("ask", "most_rest"), part.most_rest, f"is shorter than rest = {part.rest}", "let it be longer")
+    if not part.tls.on and (part.tls.ca or part.tls.cert or part.tls.key or part.tls.name):
+        bad(("ask", "tls", "on"), False, "the other keys of ask.tls are for nothing", "set on = true")
+    elif bool(part.tls.cert) != bool(part.tls.key):
+        what = "key" if part.tls.cert else "cert"
+        bad(("ask", "tls", what), "", "a certificate and its key go together", "name both files")
+
+
+def mapping_of(part: RateLimitPart, plans: Iterable[str], classes: Iterable[str], gateways: int,
+               span: int = 1) -> Mapping:
+    """The rules, compiled. `span`: gateways that clients, and so the rules, know as one. Raises BadRule."""
+
+    def rule(told: RulePart) -> Rule:
+        return Rule(told.domain, tuple(told.entries), told.customer, told.plan, told.cls, told.units,
+                    told.first * span, told.spread * span or gateways, told.named, told.token)
+
+    return Mapping([rule(told) for told in part.rules], plans, classes, gateways)
 
 
 def room_for_customers(limits: LimitsPart) -> int:
@@ -365,6 +437,7 @@
                   port,
                   part.vip, part.renew, part.duration, part.metadata)
     return Config(
+        grpc=frozenset(read_address(one.address) for one in told.listeners if one.protocol == "grpc"),
         registry=registry, own=own, trust=Trust(**msgspec.to_builtins(told.trust)),
         name=told.gateway.name, listen=listeners[0], more=tuple(listeners[1:]),
         discovery=read_address(told.hosts.discovery) if told.hosts.source == "discovery" else None,
--- a/calicomast/fronts/grpc/mapping.py
+++ b/calicomast/fronts/grpc/mapping.py
@@ -44,6 +44,7 @@
     first: int = 0
     spread: int = 1
     named: bool = False
+    token: bool = False  # what is granted comes with a token (tokens.py)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,7 @@
     units: float  # of one hit
     first: int
     spread: int
+    token: bool = False
 
 
 def hashed(domain: str, name: str) -> str:
@@ -109,7 +111,7 @@
         if plan not in self.plans:
             return None
         rule = self.rule
-        return Whose(customer.lower(), plan, rule.cls, rule.units, rule.first, rule.spread)
+        return Whose(customer.lower(), plan, rule.cls, rule.units, rule.first, rule.spread, rule.token)
 
 
 def valid(customer: str) -> bool:
--- /dev/null
+++ b/calicomast/fronts/grpc/settings.py
@@ -0,0 +1,43 @@
+"""The tables of the rate limit service in a settings file. Only their shapes: nothing of gRPC is loaded
+here."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from calicomast.checked import Part
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+
+
+class RulePart(Part, frozen=True, kw_only=True):
+    domain: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    entries: Annotated[list[str], msgspec.Meta(min_length=1, max_length=16)]
+    customer: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    plan: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    cls: str = msgspec.field(name="class")
+    units: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 1.0
+    first: Annotated[int, msgspec.Meta(ge=0)] = 0
+    spread: Annotated[int, msgspec.Meta(ge=0)] = 0  # 0: all gateways
+    named: bool = False
+    token: bool = False
+
+
+class ServerTlsPart(Part, frozen=True, kw_only=True):
+    cert: str = ""
+    key: str = ""
+    client_ca: str = ""
+
+
+class RateLimitPart(Part, frozen=True, kw_only=True):
+    patience: Seconds = 1.0
+    unmapped: Literal["ok", "over", "error"] = "ok"
+    override: Literal["ignore", "tighten", "refuse"] = "ignore"
+    max_descriptors: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 100
+    token_keys: Annotated[list[str], msgspec.Meta(max_length=16)] = []
+    token_time: Annotated[float, msgspec.Meta(gt=0, le=300)] = 5.0
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=10_000_000)] = 100_000
+    rules: list[RulePart] = []
+    tls: ServerTlsPart = ServerTlsPart()
--- a/calicomast/fronts/grpc/tokens.py
+++ b/calicomast/fronts/grpc/tokens.py
@@ -12,7 +12,8 @@
 import heapq
 import hmac
 import struct
-from collections.abc import Mapping, Sequence
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 # key, gateway that gave it, ms of Unix time until which it holds, what makes it one
@@ -106,6 +107,40 @@
         heapq.heappush(self.due, (token.until, token.name))
         return True
 
+    def give_back(self, token: Token) -> None:
+        """What it was taken for was refused and never sent: its bearer may come again with it."""
+        self.names.discard(token.name)
+
+
+class Tokens:
+    """Keys and what was used of them, for the fronts of one gateway. `now` in s of Unix time; `random` gives
+    so many bytes."""
+
+    def __init__(self, keys: Keys, redeemed: Redeemed, seconds: float, now: Callable[[], float],
+                 random: Callable[[int], bytes]) -> None:
+        self.keys, self.redeemed, self.seconds, self.now, self.random = keys, redeemed, seconds, now, random
+        self.counts: Counter[str] = Counter()
+
+    def give(self, purpose: Purpose) -> str:
+        self.counts["given"] += 1
+        return self.keys.give(purpose, self.redeemed.index, self.now() + self.seconds, self.random(8))
+
+    def take(self, text: str, purpose: tuple[str, str, str, float]) -> Token | None:
+        """None: it stands for nothing, and its request counts as any. `purpose` as Purpose."""
+        token = self.keys.read(text, Purpose(*purpose))
+        if token is None:
+            self.counts["not known"] += 1
+            return None
+        if not self.redeemed.take(token, self.now()):
+            self.counts["used, late or of another gateway"] += 1
+            return None
+        self.counts["taken"] += 1
+        return token
+
+    def give_back(self, token: Token) -> None:
+        self.counts["given back"] += 1
+        self.redeemed.give_back(token)
+
 
 def rotated(old: Keys, new: Keys) -> Mapping[str, bool]:
     """What a reload tells of: whether the signing key is another, and whether tokens given by the old one are
--- a/calicomast/fronts/grpc/wire.py
+++ b/calicomast/fronts/grpc/wire.py
@@ -1,17 +1,15 @@
 """gRPC over HTTP/2 as a server speaks it, apart from I/O: bytes in, calls out; answers in, bytes out.
 
-Frames, header compression and flow control are h2's. Here is what gRPC makes of them (its "gRPC over HTTP2"
-page): unary calls whose message has a 5-byte head, a time-out in a header, a status in trailers. Everything
-that a client may send without end is bounded: streams at once, headers, a message, what waits for a window
-that it does not open. """
+Frames, header compression and flow control are h2's. Here is what gRPC makes of them (net/rpc.py, its "gRPC
+over HTTP2" page): calls of one message and one answer, and, for the paths that are told, streams of either
+side. Everything that a client may send without end is bounded: streams at once, headers, a message, halves of
+messages together, what waits for a window that it does not open. """
 
 from __future__ import annotations
 
-import re
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from contextlib import suppress
-from dataclasses import dataclass, field
-from urllib.parse import quote
+from dataclasses import dataclass
 
 import h2.config
 import h2.connection
@@ -21,18 +19,27 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame
 
+from calicomast.net.rpc import (
+    INTERNAL,
+    RESOURCE_EXHAUSTED,
+    UNIMPLEMENTED,
+    Messages,
+    Refused,
+    Sieve,
+    framed,
+    quoted,
+    read_timeout,
+)
+
 MOST_STREAMS = 128  # of one connection at once
 MOST_MESSAGE = 256 * 1024  # bytes of one
+MOST_COMING = 1024 * 1024  # bytes of messages of one connection that are not whole
 MOST_HEADERS = 16 * 1024  # bytes of one list
 MOST_WAITING = 1024 * 1024  # bytes of answers of one connection that wait for windows
-LAST = 2 ** 31 - 1
-OK, CANCELLED, UNKNOWN, INVALID_ARGUMENT, DEADLINE_EXCEEDED, RESOURCE_EXHAUSTED = 0, 1, 2, 3, 4, 8
-UNIMPLEMENTED, INTERNAL, UNAVAILABLE = 12, 13, 14
-TIMEOUT = re.compile(rb"([0-9]{1,8})([HMSmun])")
 # What h2 raises for a stream that it has closed, or closed and forgotten.
 CALLED_OFF = (h2.exceptions.NoSuchStreamError, h2.exceptions.StreamIDTooLowError)
-UNITS = {b"H": 3600.0, b"M": 60.0, b"S": 1.0, b"m": 1e-3, b"u": 1e-6, b"n": 1e-9}
-TEXT = "".join(chr(n) for n in range(0x20, 0x7F) if chr(n) != "%")  # what grpc-message has as it is
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"  # RFC 9113, 3.4
+HEADERS = [(b":status", b"200"), (b"content-type", b"application/grpc")]
 
 
 @dataclass(slots=True)
@@ -45,6 +52,29 @@
     timeout: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """A call of a path that streams has begun."""
+
+    stream: int
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A message on one that was Opened."""
+
+    stream: int
+    message: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The client has said all on one that was Opened."""
+
+    stream: int
+
+
 @dataclass(frozen=True, slots=True)
 class Gone:
     """The client called this one off, or reset it."""
@@ -52,46 +82,41 @@
     stream: int
 
 
+Event = Call | Opened | Heard | Done | Gone
+
+
 @dataclass(slots=True)
 class Stream:
     path: str
     timeout: float | None
-    data: bytearray = field(default_factory=bytearray)
-
-
-class Refused(Exception):
-    """Why a call cannot be taken: a gRPC status and a text."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-def read_timeout(text: bytes | None) -> float | None:
-    """Raises Refused."""
-    if text is None:
-        return None
-    found = TIMEOUT.fullmatch(text)
-    if not found:
-        raise Refused(INTERNAL, "odd grpc-timeout")
-    return int(found[1]) * UNITS[found[2]]
+    messages: Messages
+    flows: bool  # its path streams: messages are given out one by one
 
 
 class Session:
     """One connection. After each call of its methods `take` gives what is to be written; `over`: then it is
-    to be closed."""
-
-    def __init__(self) -> None:
-        told = h2.config.H2Configuration(client_side=False, header_encoding=None)
+    to be closed. `streaming`: paths whose calls are streams."""
+
+    def __init__(self, streaming: Container[str] = ()) -> None:
+        self.streaming = streaming
+        # What a client may not say in headers h2 still checks; ours are written here.
+        told = h2.config.H2Configuration(client_side=False, header_encoding=None,
+                                         validate_outbound_headers=False,
+                                         normalize_outbound_headers=False)
         self.conn = h2.connection.H2Connection(told)
         self.conn.local_settings = h2.settings.Settings(client=False, initial_values={
             h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: MOST_STREAMS,
             h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: MOST_HEADERS})
         self.conn.max_inbound_frame_size = self.conn.local_settings.max_frame_size
         self.conn.initiate_connection()
-        self.coming: dict[int, Stream] = {}  # whose message is not whole
+        self.sieve = Sieve(PREFACE)
+        self.coming: dict[int, Stream] = {}  # the client has not ended it
+        self.held = 0  # bytes of messages that are not whole
         self.calls: set[int] = set()  # given out, not answered
-        self.waiting: dict[int, tuple[bytes, list[tuple[bytes, bytes]]]] = {}  # answers without a window
+        self.flowing: set[int] = set()  # those of them that stream, and were said something
+        # What has no window yet: bytes, and trailers once it has ended.
+        self.waiting: dict[int, tuple[bytes, list[tuple[bytes, bytes]] | None]] = {}
+        self.unsent = 0  # bytes of those
         self.more: list[bytes] = []
         self.last = 0  # highest stream that was taken
         self.over = self.ending = False
@@ -100,7 +125,7 @@
         out = self.conn.data_to_send()
         if self.more:
             out, self.more = out + b"".join(self.more), []
-        if self.ending and not (self.coming or self.calls or self.waiting):
+        if self.ending and self.idle:
             self.over = True
         return out
 
@@ -110,34 +135,35 @@
 
     # In
 
-    def receive(self, data: bytes) -> list[Call | Gone]:
-        told: list[Call | Gone] = []
+    def receive(self, data: bytes) -> list[Event]:
+        told: list[Event] = []
+        data, last = self.sieve.feed(data)
+        if last is not None:  # the client opens no more streams; what it asked it waits for
+            self.ending = True
         try:
-            events = self.conn.receive_data(data)
+            events = self.conn.receive_data(data) if data else []
         except (h2.exceptions.ProtocolError, ValueError, IndexError):  # lost: h2 has written the GOAWAY
             self.over = True
             return self.lost()
         for event in events:
             match event:
-                case h2.events.RequestReceived():
-                    self.begun(event)
-                    if event.stream_ended is not None:
-                        told += self.whole(event.stream_id)
                 case h2.events.DataReceived():
-                    self.data(event)
+                    self.data(event, told)
                     if event.stream_ended is not None:
-                        told += self.whole(event.stream_id)
+                        self.whole(event.stream_id, told)
+                case h2.events.RequestReceived():
+                    self.begun(event, told)
+                    if event.stream_ended is not None:
+                        self.whole(event.stream_id, told)
                 case h2.events.TrailersReceived():
-                    told += self.whole(event.stream_id)
+                    self.whole(event.stream_id, told)
                 case h2.events.StreamReset():
-                    told += self.reset(event.stream_id)
+                    self.reset(event.stream_id, told)
                 case h2.events.WindowUpdated() | h2.events.RemoteSettingsChanged():
                     self.flush()
-                case h2.events.ConnectionTerminated():
-                    self.ending = True
         return told
 
-    def begun(self, event: h2.events.RequestReceived) -> None:
+    def begun(self, event: h2.events.RequestReceived, told: list[Event]) -> None:
         number = event.stream_id or 0
         headers = dict(event.headers or ())
         if self.ending and number > self.last:
@@ -161,56 +187,77 @@
             self.stop_reading(number)
             return
         path = headers.get(b":path", b"").decode("ascii", "replace")
-        self.coming[number] = Stream(path, timeout)
+        flows = path in self.streaming
+        self.coming[number] = Stream(path, timeout, Messages(MOST_MESSAGE), flows)
+        if flows:
+            self.calls.add(number)
+            told.append(Opened(number, path))
 
-    def data(self, event: h2.events.DataReceived) -> None:
+    def data(self, event: h2.events.DataReceived, told: list[Event]) -> None:
         number, length = event.stream_id or 0, event.flow_controlled_length or 0
         if length:
             self.conn.acknowledge_received_data(length, number)
         stream = self.coming.get(number)
         if stream is None:
             return
-        stream.data += event.data or b""
-        if len(stream.data) >= 5:
-            size = int.from_bytes(stream.data[1:5], "big")
-            why = None
-            if size > MOST_MESSAGE:
-                why = Refused(RESOURCE_EXHAUSTED, f"a message of {size} bytes: {MOST_MESSAGE} at most")
-            elif stream.data[0]:
-                why = Refused(UNIMPLEMENTED, "messages are not compressed here")
-            elif len(stream.data) > 5 + size:
-                why = Refused(INTERNAL, "more than one message")
-            if why is not None:
-                del self.coming[number]
-                self.refuse(number, why.status, str(why))
-                if event.stream_ended is None:
-                    self.stop_reading(number)
-
-    def whole(self, number: int | None) -> list[Call | Gone]:
-        stream = self.coming.pop(number or 0, None)
-        if stream is None or number is None:
-            return []
-        if len(stream.data) < 5 or len(stream.data) != 5 + int.from_bytes(stream.data[1:5], "big"):
-            self.refuse(number, INTERNAL, "a message that is not whole")
-            return []
+        data = event.data or b""
+        self.held += len(data)
+        try:
+            stream.messages.feed(data)
+            if stream.flows:
+                for message in stream.messages.take():
+                    self.held -= len(message) + 5
+                    told.append(Heard(number, message))
+            elif self.held > MOST_COMING and event.stream_ended is None:
+                raise Refused(RESOURCE_EXHAUSTED, f"over {MOST_COMING} bytes of messages that are not whole")
+        except Refused as err:
+            self.drop(number)
+            if number in self.calls:  # it streams: whoever answers it hears that it is gone
+                self.calls.discard(number)
+                told.append(Gone(number))
+            self.refuse(number, err.status, str(err))
+            if event.stream_ended is None:
+                self.stop_reading(number)
+
+    def drop(self, number: int) -> Stream | None:
+        """No more is wanted of it."""
+        stream = self.coming.pop(number, None)
+        if stream is not None:
+            self.held -= len(stream.messages.data)
+        return stream
+
+    def whole(self, number: int | None, told: list[Event]) -> None:
+        number = number or 0
+        stream = self.drop(number)
+        if stream is None:
+            return
+        if stream.flows:
+            if number in self.calls:
+                told.append(Done(number))
+            return
+        try:
+            message = stream.messages.only()
+        except Refused as err:
+            self.refuse(number, err.status, str(err))
+            return
         self.calls.add(number)
-        return [Call(number, stream.path, bytes(stream.data[5:]), stream.timeout)]
+        told.append(Call(number, stream.path, message, stream.timeout))
 
-    def reset(self, number: int | None) -> list[Call | Gone]:
+    def reset(self, number: int | None, told: list[Event]) -> None:
         number = number or 0
-        self.coming.pop(number, None)
-        self.waiting.pop(number, None)
-        if number not in self.calls:
-            return []
-        self.calls.discard(number)
-        return [Gone(number)]
+        self.drop(number)
+        self.unsent -= len(self.waiting.pop(number, (b"", None))[0])
+        if number in self.calls:
+            self.calls.discard(number)
+            self.flowing.discard(number)
+            told.append(Gone(number))
 
-    def lost(self) -> list[Call | Gone]:
+    def lost(self) -> list[Event]:
         """The connection is gone, and all calls on it."""
-        gone: list[Call | Gone] = [Gone(number) for number in sorted(self.calls)]
-        self.coming.clear()
-        self.calls.clear()
-        self.waiting.clear()
+        gone: list[Event] = [Gone(number) for number in sorted(self.calls)]
+        for each in (self.coming, self.calls, self.flowing, self.waiting):
+            each.clear()
+        self.held = self.unsent = 0
         return gone
 
     # Out
@@ -220,46 +267,73 @@
         if number not in self.calls:
             return
         self.calls.discard(number)
-        self.conn.send_headers(number, [(b":status", b"200"), (b"content-type", b"application/grpc"),
-                                        *headers])
-        self.waiting[number] = (b"\0" + len(message).to_bytes(4, "big") + message, [(b"grpc-status", b"0")])
-        self.flush()
+        self.conn.send_headers(number, [*HEADERS, *headers])
+        self.put(number, framed(message), [(b"grpc-status", b"0")])
+
+    def say(self, number: int, message: bytes) -> None:
+        """One message of a stream that was given out."""
+        if number not in self.calls:
+            return
+        if number not in self.flowing:
+            self.flowing.add(number)
+            self.conn.send_headers(number, HEADERS)
+        self.put(number, framed(message), None)
 
     def fail(self, number: int, status: int, text: str) -> None:
-        """Likewise, with a status other than OK."""
-        if number in self.calls:
-            self.calls.discard(number)
+        """Ends a call or a stream that was given out; status 0 ends a stream well."""
+        if number not in self.calls:
+            return
+        self.calls.discard(number)
+        unread = self.drop(number) is not None
+        if number in self.flowing:
+            self.flowing.discard(number)
+            self.put(number, b"", [(b"grpc-status", b"%d" % status), (b"grpc-message", quoted(text))])
+        else:
             self.refuse(number, status, text)
+        if unread and number not in self.waiting:
+            self.stop_reading(number)
 
     def refuse(self, number: int, status: int, text: str) -> None:
         with suppress(*CALLED_OFF):  # called off in what was read with it
             self.conn.send_headers(number, [
-                (b":status", b"200"), (b"content-type", b"application/grpc"),
-                (b"grpc-status", b"%d" % status), (b"grpc-message", quote(text, safe=TEXT).encode())],
-                end_stream=True)
+                *HEADERS, (b"grpc-status", b"%d" % status), (b"grpc-message", quoted(text))], end_stream=True)
 
     def stop_reading(self, number: int) -> None:
         """What still comes on it is not wanted (RFC 9113, 8.1: a whole answer, then NO_ERROR)."""
         with suppress(*CALLED_OFF):  # it has come already
             self.conn.reset_stream(number, h2.errors.ErrorCodes.NO_ERROR)
 
-    def flush(self) -> None:
-        """Sends what windows let through. A client that opens none, and asks on, is cut off."""
-        for number, (data, trailers) in list(self.waiting.items()):
-            try:
-                while data and (room := self.room(number)) > 0:
-                    self.conn.send_data(number, data[:room])
-                    data = data[room:]
-                self.waiting[number] = data, trailers
-                if not data:
-                    del self.waiting[number]
-                    self.conn.send_headers(number, trailers, end_stream=True)
-            except CALLED_OFF:  # its reset was read with what opened the window
-                self.waiting.pop(number, None)
-        if sum(len(data) for data, _ in self.waiting.values()) > MOST_WAITING:
+    def put(self, number: int, data: bytes, trailers: list[tuple[bytes, bytes]] | None) -> None:
+        before, _ = self.waiting.get(number, (b"", None))
+        self.unsent += len(data)
+        self.waiting[number] = before + data, trailers
+        self.pour(number)
+        if self.unsent > MOST_WAITING:  # it opens no window and asks on
             self.conn.close_connection(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
             self.over = True
 
+    def flush(self) -> None:
+        for number in list(self.waiting):
+            self.pour(number)
+
+    def pour(self, number: int) -> None:
+        """Sends what the windows let through."""
+        data, trailers = self.waiting[number]
+        try:
+            while data and (room := self.room(number)) > 0:
+                self.conn.send_data(number, data[:room])
+                self.unsent -= min(room, len(data))
+                data = data[room:]
+            if data:
+                self.waiting[number] = data, trailers
+                return
+            del self.waiting[number]
+            if trailers is not None:
+                self.conn.send_headers(number, trailers, end_stream=True)
+        except CALLED_OFF:  # its reset was read with what opened the window
+            self.unsent -= len(data)
+            self.waiting.pop(number, None)
+
     def room(self, number: int) -> int:
         return int(min(self.conn.local_flow_control_window(number), self.conn.max_outbound_frame_size))
 
@@ -269,3 +343,6 @@
         if not self.ending:
             self.ending = True
             self.more.append(GoAwayFrame(0, last_stream_id=self.last, error_code=0).serialize())
+
+
+__all__ = ["INTERNAL", "Call", "Done", "Gone", "Heard", "Opened", "Refused", "Session"]
--- a/calicomast/fronts/resp/front.py
+++ b/calicomast/fronts/resp/front.py
@@ -4,8 +4,9 @@
 
 import logging
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from calicomast import interface as api
 from calicomast.core.life import Core, InWork
 from calicomast.fronts.resp.command import BadRequest, Kept, read_command
 from calicomast.fronts.resp.server import FAILED, ClientServer, Slot
@@ -31,6 +32,7 @@
         self.kept: Kept = {}
         self.outliner: Outliner | None = None
         self.span = span
+        self.tokens: Any = None  # fronts.grpc.tokens.Tokens, where settings have keys for them
         self.watch_door()
         core.join(self)
 
@@ -38,6 +40,17 @@
         """The core's door has come or gone."""
         self.server.door = self.core.door
 
+    def take_tokens(self, tokens: Any) -> None:
+        """Of checks, from now on; None: none are taken."""
+        self.tokens = tokens
+
+    def share(self, most: int, most_partial: int) -> None:
+        """Its part of the connections and of the bytes of half commands."""
+        self.server.most, self.server.most_partial = most, most_partial
+
+    def stopping(self) -> None:
+        """Takes on for a while; PING says so."""
+
     async def listen(self, sock: socket.socket | None = None) -> None:
         """At its address, or on `sock`, which listens already."""
         self.port = await self.server.listen(*self.address, sock)
@@ -76,10 +89,13 @@
                 if (wait := self.turned_away(door, outliner.request(request), slot)) >= 0:
                     slot.refused(wait)
                     return
+            if self.tokens is not None and b"tok=" in order.parts[3]:
+                request = self.redeemed(request, order.parts[3], slot)
             self.core.take(self, request, order, slot)
         except BadRequest as err:
             slot.reply(b"-ERR %s\r\n" % str(err).encode())
         except InWork:
+            self.unpaid(slot)
             slot.reply(b"-ERR this id is in work\r\n")
         except Exception:
             log.exception("a command could not be taken")
@@ -96,5 +112,21 @@
         wait = door.turned_away(seen.worth, seen.customer, seen.left, slot.client.came)
         return -1.0 if wait >= 0 and self.core.in_work(seen.id, seen.write) else wait
 
+    def redeemed(self, request: api.Request, terms: bytes, slot: Slot) -> api.Request:
+        """With a token that stands for its units it takes none; with any other it is a request as ever."""
+        text = (b"," + terms).partition(b",tok=")[2].partition(b",")[0].decode("ascii", "replace")
+        purpose = (request.customer, request.plan, request.cls, request.units)
+        slot.paid = self.tokens.take(text, purpose)
+        if slot.paid is None:
+            return request
+        return api.Paid(request.id, request.left, request.customer, request.plan, request.cls, request.units,
+                        request.first, request.spread, request.repeat, request.write, request.route)
+
+    def unpaid(self, slot: Slot) -> None:
+        """It was not taken, or refused: its token stands again, unless an attempt was sent."""
+        paid, slot.paid = slot.paid, None
+        if paid is not None and self.tokens is not None and not (slot.token and slot.token.sends):
+            self.tokens.give_back(paid)
+
     def gone(self, slot: Slot) -> None:
         self.core.gone(slot)
--- a/calicomast/fronts/resp/server.py
+++ b/calicomast/fronts/resp/server.py
@@ -31,12 +31,13 @@
 class Slot:
     """The place of one command's answer among those of its connection."""
 
-    __slots__ = ("client", "answer", "token")
+    __slots__ = ("client", "answer", "token", "paid")
 
     def __init__(self, client: Client) -> None:
         self.client = client
         self.answer: bytes | None = None
         self.token: Any = None  # the core's record of a command that was taken
+        self.paid: Any = None  # the token of a check that its client showed
 
     def reply(self, answer: bytes) -> None:
         if self.answer is None:
@@ -49,6 +50,8 @@
         self.reply(bulk(value))
 
     def refused(self, wait: float) -> None:
+        if self.paid is not None:
+            self.client.server.handler.unpaid(self)
         ms = math.ceil(wait * 1000)
         self.reply(b"-BUSY %d\r\n" % ms if ms > 0 else BUSY)
 
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -182,6 +182,30 @@
     answered by Granted or Denied. Any number of units: 0 spends nothing, more than a burst never fits."""
 
 
+@dataclass(frozen=True, slots=True)
+class Reserve(Check):
+    """A check whose units a Paid request may come for. The ceiling counts it when it is granted, and counts
+    that request once more when it is sent, each by itself: neither what is granted nor what is sent on passes
+    it, however far apart the two are."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limited(Check):
+    """A check against a limit of its own, in place of its plan's: of `customer`, which is then a name made
+    for that limit. Its class and plan tell what it is worth."""
+
+    limit: Plan | None = None
+
+    def __post_init__(self) -> None:
+        _need(self.limit is not None and self.limit.rate > 0, f"check {self.id}: no limit")
+        _need(self.units >= 0 and self.spread >= 1, f"check {self.id}: negative units or no spread")
+
+
+@dataclass(frozen=True, slots=True)
+class Paid(Request):
+    """A request whose units a Reserve has spent: it takes none of the quota."""
+
+
 @dataclass(frozen=True, slots=True)
 class GiveBack:
     """Units that a Check of this customer was granted, and that were not used: another one of the same
@@ -192,10 +216,15 @@
     window: int  # as Granted told it
 
 
+@dataclass(frozen=True, slots=True)
+class Unreserve(GiveBack):
+    """Likewise, of a Reserve."""
+
+
 @dataclass(frozen=True, slots=True)
 class Barred:
-    """A request that a plug-in would have refused, before anything was taken for it. It was not told of
-    before."""
+    """A request that a plug-in or an outer service would have refused, before anything was taken for it. It
+    was not told of before."""
 
     id: str
     wait: float  # s until its client may come again
@@ -268,7 +297,8 @@
     on: bool
 
 
-Event = (HostList | Request | Check | GiveBack | Outcome | Counted | Probed | Timer | Began | Gone | Message
+Event = (HostList | Request | Check | Reserve | Limited | Paid | GiveBack | Unreserve
+         | Outcome | Counted | Probed | Timer | Began | Gone | Message
          | Retire | Barred)
 
 
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -102,6 +102,9 @@
         self.known = True  # False: was forgotten within its windows, so what it used is to be asked for first
         # Ceiling: an even share, no failure can pass it; empty at a start, as the last life's use is unknown.
         self.cap_at, self.cap = now, min(plan.ceiling_burst, (now - born) * plan.ceiling_rate) / self.spread
+        # By how much the store of what is sent on is fuller than that of what is granted: reserved units that
+        # nobody has come for, as far as it has not filled up meanwhile; below 0 where they came late.
+        self.ahead = 0.0
 
     def window(self, now: float) -> int:
         return math.floor((now - self.phase) / self.length)
@@ -141,13 +144,21 @@
         w = math.sqrt(c1 * max(self.last_used, self.used) / max(STRAND_MIN, full * full))
         return max(1, int(min(w, self.plan.burst, max(self.last_used, self.used, 1.0))))
 
-    def ceiling_room(self, now: float) -> float:
+    def ceiling_room(self, now: float, paid: bool = False) -> float:
+        """`paid`: of what is sent on alone; else the store of what is granted has to have it too."""
         plan = self.plan
         if not plan.ceiling_rate:
             return math.inf
-        more = max(0.0, now - self.cap_at) * plan.ceiling_rate / self.spread
-        self.cap, self.cap_at = min(plan.ceiling_burst / self.spread, self.cap + more), max(now, self.cap_at)
-        return self.cap
+        self.fill(max(0.0, now - self.cap_at) * plan.ceiling_rate / self.spread)
+        self.cap_at = max(now, self.cap_at)
+        return self.cap + (self.ahead if paid else min(0.0, self.ahead)) if self.ahead else self.cap
+
+    def fill(self, more: float) -> None:
+        full = self.plan.ceiling_burst / self.spread
+        cap = min(full, self.cap + more)
+        if self.ahead:
+            self.ahead = min(full, self.cap + self.ahead + more) - cap
+        self.cap = cap
 
 
 class Forgotten:
@@ -520,6 +531,7 @@
     avoid: set[str] = field(default_factory=set)
     done: bool = False
     check: bool = False  # goes to no host: its units are all that is asked for
+    paid: bool = False  # a check has spent its units
     over: bool = False  # refused for its customer's quota or ceiling
 
 
@@ -630,6 +642,9 @@
 
     def request(self, now: float, req: api.Request) -> None:
         cls, plan = self.set.classes[req.cls], self.set.plans[req.plan]
+        kind = type(req)
+        if kind is api.Limited:
+            plan = req.limit
         acct = self.accounts.pop(req.customer, None)
         if acct is None:
             if 0 < self.set.most_accounts <= len(self.accounts) and not self.forget_one(now):
@@ -648,16 +663,17 @@
             keys = self.levels[req.cls, req.plan] = Levels(("host", "class " + cls.name, "plan " + plan.name))
         job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
                                       worth / max(self.fleet.mean[cls.name], 1e-6), keys)
-        job.check = isinstance(req, api.Check)
+        if kind is not api.Request:
+            job.check, job.paid = isinstance(req, api.Check), kind is api.Paid
         route = self.set.routes.get(req.route) if req.route else None
         if route and not (route.fallback and all(s.host.kind not in route.kinds for s in self.fleet.up)):
             job.kinds = route.kinds
         if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
             self.refuse(now, job, 0.0)
-        elif acct.ceiling_room(min(now, self.retired_at)) < req.units:
+        elif (room := acct.ceiling_room(min(now, self.retired_at), job.paid)) < req.units:
             job.over = True
-            self.refuse(now, job, (req.units - acct.cap) * acct.spread / plan.ceiling_rate)
-        elif plan.rate:
+            self.refuse(now, job, (req.units - room) * acct.spread / plan.ceiling_rate)
+        elif plan.rate and not job.paid:
             self.want_units(now, job)
         else:
             self.want_slot(now, job)
@@ -911,11 +927,16 @@
 
     def enqueue(self, now: float, job: Job) -> None:
         acct, units = job.acct, job.req.units
-        if acct.ceiling_room(min(now, self.retired_at)) < units:
+        if acct.ceiling_room(min(now, self.retired_at), job.paid) < units:
             job.over = True
             self.refuse(now, job, 0.0)
             return
-        acct.cap -= units  # spent before sending
+        if job.paid:
+            acct.ahead -= units
+        else:
+            acct.cap -= units  # spent before sending
+            if type(job.req) is api.Reserve:
+                acct.ahead += units
         if job.check:
             self.out.append(api.Granted(job.req.id, *self.left(now, job), acct.k))
             self.close(now, job)
@@ -957,7 +978,10 @@
         if acct.plan.rate and acct.k == event.window:
             acct.lease += event.units
             acct.used -= event.units
-        acct.cap = min(acct.plan.ceiling_burst / acct.spread, acct.cap + event.units)
+        sent = acct.cap + acct.ahead
+        acct.fill(event.units)
+        if type(event) is api.Unreserve:  # what is sent on was never charged with it
+            acct.ahead = sent - acct.cap
 
     def refuse(self, now: float, job: Job, wait: float) -> None:
         if job.check:
