--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -889,15 +889,15 @@
         """Own even part of the open limit; the rest is shared by a count, asked for what that changes, or
         judged by Little's law from the customer's rate, which its units bound, and the time of answers."""
         acct, plan = job.acct, job.plan
+        job.stage = "slot"
+        if job.check or not plan.open_limit:  # there is no limit to hold
+            self.enqueue(now, job)
+            return
         own, shared = divmod(plan.open_limit, acct.spread)
         rate = max(acct.total, acct.used) / max(now - acct.start, acct.length / 4)
         mean = min(rate, plan.rate or rate) / max(job.req.units, 1e-9) * self.fleet.mean[job.cls.name]
         over = 1 - sum(mean ** n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
         cost = max(0.0, plan.over_cost - plan.over_worth)
-        job.stage = "slot"
-        if job.check:
-            self.enqueue(now, job)
-            return
         if acct.open_here < own:
             job.slot = -1
             acct.open_here += 1
