--- a/calicomast/daemon/workers.py
+++ b/calicomast/daemon/workers.py
@@ -195,7 +195,7 @@
         wait = self.settings.daemon.handover_wait * self.count
         self.keeper = Keeper(os.path.join(state, "handover"), self.offer, self.nothing, self.nothing,
                              self.succeeded, wait)
-        for name in ("hosts", "plugins"):  # the workers know
+        for name in ("hosts", "plugins", "ratelimit"):  # the workers know
             self.keeper.questions[name] = lambda: {"workers": self.count}
         self.keeper.open()
 
--- a/tests/ratelimit/test_daemon.py
+++ b/tests/ratelimit/test_daemon.py
@@ -395,3 +395,36 @@
                                                        stdout=subprocess.PIPE)
         assert (await program.communicate())[0] == b"[]\n", what
     assert SERVED
+
+
+@on_loop
+async def test_workers_share_the_listener_and_each_tells_of_its_own(tmp_path):
+    (tmp_path / "key-1").write_bytes(os.urandom(32))
+    rules = '[ratelimit]\ntoken_keys = ["key-1"]\n' + RULE + "token = true\n"
+    async with GrpcSite(tmp_path, rules=rules) as site:
+        program = await site.start("--workers", "2", ready=False)
+        await site.line(program, b"workers listen on")
+        tokens = []
+        for n in range(8):
+            async with grpc.aio.insecure_channel(f"127.0.0.1:{site.checks}",
+                                                 [("grpc.use_local_subchannel_pool", 1)]) as channel:
+                response = await site.ask(channel, plan="p")
+                tokens += [header.value for header in response.response_headers_to_add]
+        assert len(tokens) == 8
+        code, out, err = await run("ratelimit", "status", str(site.file))
+        told = [line for line in out.splitlines() if line.startswith("tokens: given ")]
+        assert code == 0 and "worker-0:" in out and "worker-1:" in out, err
+        assert sum(int(line.split()[2].rstrip(",")) for line in told) == 8
+        served = 0
+        for n in range(8):  # a token is taken by either worker, and once by each at most
+            reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+            terms_told = f"c=read,t=p,d=3000,units=1,spread=1,first=0,tok={tokens[0]}".encode()
+            writer.write(command(b"r%d" % n, terms_told, customer=A.encode()))
+            served += (await read_reply(reader)).startswith(b"$")
+            writer.close()
+        assert served == 8  # there is quota for all; those without a token pay
+        code, out, err = await run("ratelimit", "status", str(site.file), "--json")
+        taken = [worker["tokens"].get("taken", 0) for worker in json.loads(out).values()]
+        assert 1 <= sum(taken) <= 2 and max(taken) == 1
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
