--- a/tests/ratelimit/test_daemon.py
+++ b/tests/ratelimit/test_daemon.py
@@ -405,7 +405,7 @@
         program = await site.start("--workers", "2", ready=False)
         await site.line(program, b"workers listen on")
         tokens = []
-        for n in range(8):
+        for _ in range(8):
             async with grpc.aio.insecure_channel(f"127.0.0.1:{site.checks}",
                                                  [("grpc.use_local_subchannel_pool", 1)]) as channel:
                 response = await site.ask(channel, plan="p")
