Load generator, first part: schedules, scenarios, load plan, load run from one process

Most tools wait with the target and so hide it.

- Employers by skew, sets of gateways that shift, spells over quota; a scenario file checked as settings are; addresses off loopback refused unless it says so.
- Sending is an open loop: what is due is sent when it is due and recorded once, also where it could not be sent; latency counts from then.
The generator's own lateness is kept apart, and past a bound, or without descriptors, the run is void.
- HDR histograms by hdrhistogram, in the extra 'load'.

--- a/calicomast/cli/main.py
+++ b/calicomast/cli/main.py
@@ -10,9 +10,9 @@
 from calicomast import __version__
 
 # libraries that only some installations have, and their extra
-NEEDS = {"msgspec": "daemon", "rich": "tools", "wasmtime": "plugins", "h2": "grpc", "envoy": "grpc",
-         "google": "grpc", "hyperframe": "grpc", "grpc_health": "grpc", "grpc_reflection": "grpc",
-         "grpc": "grpc"}
+NEEDS = {"msgspec": "daemon", "rich": "tools", "hdrh": "load", "wasmtime": "plugins", "h2": "grpc",
+         "envoy": "grpc", "google": "grpc", "hyperframe": "grpc", "grpc_health": "grpc",
+         "grpc_reflection": "grpc", "grpc": "grpc"}
 
 
 def parser() -> argparse.ArgumentParser:
@@ -83,6 +83,22 @@
         description="For those who ask the gateway's rate limit service, or whose gateway asks another: "
                     "docs/operate/ratelimit.md."))
 
+    load = commands.add_parser(
+        "load", help="rehearse traffic",
+        description="Sends what a scenario says when it says so, whatever the gateways do, and counts "
+                    "latency from when each request was due: docs/operate/load.md.")
+    acts = load.add_subparsers(dest="act", required=True, metavar="COMMAND")
+    one = acts.add_parser("plan", help="print and plot what will be due, before anything is sent")
+    one.add_argument("file", metavar="FILE", help="a scenario, as examples/load/month-start.toml")
+    one.add_argument("--json", action="store_true")
+
+    one = acts.add_parser(
+        "run", help="play it",
+        description="Plays it over RESP2 from one process. Exit code 1 if the generator itself was too late, "
+                    "so that the run says nothing. Ctrl-C ends it with a report of what was.")
+    one.add_argument("file", metavar="FILE")
+    one.add_argument("--json", action="store_true")
+
     commands.add_parser("version", help="print the version")
     return top
 
@@ -177,6 +193,10 @@
         from calicomast.cli import ratelimit as limits
 
         return limits.run(told)
+    if told.command == "load":
+        from calicomast.cli import load
+
+        return load.run(told)
     if told.command == "demo":
         demo = importlib.import_module("calicomast.tools.demo")
         return int(demo.main(told.seconds, told.seed, told.keep, told.registry, told.plugin, told.grpc))
--- /dev/null
+++ b/tests/load/test_scenario.py
@@ -0,0 +1,79 @@
+"""A scenario file: each fault is told with its key; nothing is sent off loopback unless it says so."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from rig import ROOT
+
+from calicomast.checked import Faulty
+from calicomast.tools.load.scenario import read_scenario
+
+GOOD = """
+[classes.read]
+[plans.p]
+[[streams]]
+class = "read"
+plan = "p"
+shape = { kind = "constant", rate = 10.0 }
+"""
+
+
+def faults(tmp_path, text):
+    file = tmp_path / "scenario.toml"
+    file.write_text(text)
+    with pytest.raises(Faulty) as caught:
+        read_scenario(str(file))
+    return {fault.key: fault for fault in caught.value.faults}
+
+
+@pytest.mark.parametrize("text, key, words", [
+    ("[run]\nsecond = 3", "run.second", "did you mean `seconds`"),
+    ("[run]\nseconds = -1", "run.seconds", ">= 0"),
+    ("[targets]\ngateways = ['10.0.0.1:6379']", "targets.gateways[0]", "not on loopback"),
+    ("[targets]\ngateways = ['gateway.test:6379']", "targets.gateways[0]", "off_loopback = true"),
+    ("[targets]\ngateways = ['nowhere']", "targets.gateways[0]", "HOST:PORT"),
+    ("[[spells]]\nplan = 'q'\ntimes = 2.0\nat_s = 1.0\nlength = 1.0", "spells[0].plan", "known: p"),
+    ("[[spells]]\nplan = 'p'\nemployers = 2\ntimes = 2.0\nat_s = 1.0\nlength = 1.0", "spells[0].employers",
+     "the plan has 1"),
+    ("[plans.q]\nspread = 2\n[targets]\ngateways = ['127.0.0.1:1']", "plans.q.spread",
+     "there are 1 gateways"),
+    ("[[streams]]\nclass = 'write'\nplan = 'p'\nshape = { kind = 'constant', rate = 1.0 }",
+     "streams[1].class", "known: read"),
+    ("[[streams]]\nclass = 'read'\nplan = 'p'\nshape = { kind = 'circle', rate = 1.0 }", "streams[1].shape",
+     "circle"),
+    ("[[streams]]\nclass = 'read'\nplan = 'p'\nshape = { kind = 'constant', rate = -1.0 }",
+     "streams[1].shape", ">= 0"),
+    ("[[streams]]\nclass = 'read'\nplan = 'p'", "streams[1].shape", "missing"),
+])
+def test_a_fault_is_told_with_its_key(text, key, words, tmp_path):
+    found = faults(tmp_path, GOOD + text)
+    assert list(found) == [key] and words in str(found[key])
+
+
+@pytest.mark.parametrize("told", ["127.0.0.1:1", "localhost:1", "[::1]:1", "127.9.9.9:1"])
+def test_loopback_in_all_its_names(told, tmp_path):
+    file = tmp_path / "scenario.toml"
+    file.write_text(GOOD + f'[targets]\ngateways = ["{told}"]')
+    assert read_scenario(str(file)).targets.gateways == [told]
+    file.write_text(GOOD + '[targets]\ngateways = ["10.0.0.1:1"]\noff_loopback = true')
+    assert read_scenario(str(file)).targets.off_loopback
+
+
+def command(*arguments):
+    return subprocess.run([sys.executable, "-B", "-m", "calicomast", "load", *arguments], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60)
+
+
+def test_the_plan_is_printed_and_plotted_before_anything_is_sent(tmp_path):
+    ended = command("plan", "examples/load/month-start.toml")
+    assert ended.returncode == 0 and "month start: " in ended.stdout and "█" in ended.stdout, ended.stderr
+    told = json.loads(command("plan", "examples/load/month-start.toml", "--json").stdout)
+    assert f"{told['requests']} requests" in ended.stdout and told["sha256"][:16] in ended.stdout
+    file = tmp_path / "scenario.toml"
+    file.write_text(GOOD + "[run]\nmax_requests = 5")
+    ended = command("plan", str(file))
+    assert ended.returncode == 2 and "run.max_requests = 5" in ended.stderr
+    ended = command("plan", str(tmp_path / "none.toml"))
+    assert ended.returncode == 2 and "cannot be read" in ended.stderr
--- /dev/null
+++ b/tests/load/test_sending.py
@@ -0,0 +1,308 @@
+"""Open loop against targets that stall, refuse, lie and die: every request that was due is recorded, with the
+latency that the schedule says. Lower bounds only: a slow machine makes them longer, never shorter."""
+
+import asyncio
+import errno
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from netkit import StubHost, on_loop
+from rig import PROGRAM, ROOT, Site, free_port
+
+from calicomast.standins.script import Step
+from calicomast.tools.load.record import OUTCOMES, Record, beyond, percentiles, report, text, void
+from calicomast.tools.load.scenario import ClassPart
+from calicomast.tools.load.schedule import US, Due
+from calicomast.tools.load.send import Sender
+
+VALUE = b"$5\r\nvalue\r\n"
+
+
+def due(at, n=0, cls="read"):
+    return Due(int(at * US), f"r{n}", f"{n % 5:016x}", "p", cls, 1.0, 0, 0, 1)
+
+
+def evenly(rate, seconds, cls="read"):
+    return [due(n / rate, n, cls) for n in range(int(rate * seconds))]
+
+
+async def sent(dues, port, wait=5.0, effect="safe", before=None):
+    sender = Sender(iter(dues), {"read": ClassPart(effect=effect, wait=wait)}, [("127.0.0.1", port)])
+    if before is not None:
+        before(sender)
+    record = await sender.run()
+    assert sum(record.counts().values()) == record.late.get_total_count()
+    return record
+
+
+class Freezing(asyncio.Protocol):
+    """Answers each command at once; while it is frozen it reads nothing."""
+
+    frozen, lines = False, set()
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.lines.add(self)
+
+    def data_received(self, data):
+        self.transport.write(VALUE * data.count(b"API."))
+
+    def connection_lost(self, exc):
+        self.lines.discard(self)
+
+    @classmethod
+    def freeze(cls, on):
+        for line in cls.lines:
+            line.transport.pause_reading() if on else line.transport.resume_reading()
+
+
+@on_loop
+async def test_a_freeze_is_in_the_record_in_full():
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(Freezing, "127.0.0.1", 0)
+    spans, dues = [], evenly(200, 2.5)
+
+    def freeze(sender):
+        async def go():
+            while not (Freezing.lines and time.monotonic() > sender.began + 0.5):
+                await asyncio.sleep(0.01)
+            Freezing.freeze(True)
+            spans.append(time.monotonic() - sender.began)
+            await asyncio.sleep(1.0)
+            spans.append(time.monotonic() - sender.began)
+            Freezing.freeze(False)
+
+        sender.task = loop.create_task(go())
+
+    record = await sent(dues, server.sockets[0].getsockname()[1], before=freeze)
+    begin, end = spans
+    told = record.of()
+    # New connections are taken on, so what is due in it waits where a kept one is at hand, as it does for
+    # clients; each that was out at its begin, and each behind it, shows the whole rest of the freeze.
+    assert beyond(told, (end - begin) * 0.95 * US) >= 1 and told.get_max_value() >= (end - begin) * 0.95 * US
+    assert told.get_total_count() == len(dues) and record.counts()["served"] == len(dues)
+    server.close()
+
+
+@on_loop
+async def test_a_gateway_that_is_stopped_shows_its_stop_in_every_request_that_was_due(tmp_path):
+    """SIGSTOP of a real one, for a second: what is due in it waits for the rest of it; none is left out."""
+    async with Site(tmp_path) as site:
+        program = await site.start()
+        dues, spans = evenly(100, 2.5), []
+
+        def stop(sender):
+            async def go():
+                while time.monotonic() < sender.began + 0.7:
+                    await asyncio.sleep(0.01)
+                program.send_signal(signal.SIGSTOP)
+                spans.append(time.monotonic() - sender.began)
+                await asyncio.sleep(1.0)
+                spans.append(time.monotonic() - sender.began)
+                program.send_signal(signal.SIGCONT)
+
+            sender.task = asyncio.get_running_loop().create_task(go())
+
+        record = await sent(dues, site.port, before=stop)
+        begin, end = spans
+        told, total = record.of(), len(dues)
+        assert told.get_total_count() == total
+        for least in (0.2, 0.5, 0.8):
+            in_it = sum(begin <= one.at / US <= end - least for one in dues)
+            assert beyond(told, least * 0.99 * US) >= in_it > 0, least
+        # A client that waited with it would have seen one slow answer.
+        assert percentiles(told)["p90"] >= 200
+
+
+@pytest.mark.parametrize("step, word", [
+    (Step("silent"), "lost"), (Step("reset"), "lost"), (Step("half"), "lost"), (Step("busy"), "refused"),
+    (Step("error"), "failed")])
+@on_loop
+async def test_each_kind_of_answer_has_its_outcome(step, word):
+    async with StubHost() as host:
+        host.script.play(step)
+        record = await sent(evenly(100, 0.3), host.port, wait=0.4)
+        assert record.counts() == dict.fromkeys(OUTCOMES, 0) | {word: 30}
+        told = record.of(word)
+        if step.kind == "silent":  # counted for as long as its client would have waited
+            assert told.get_min_value() >= 0.399 * US
+
+
+@on_loop
+async def test_a_target_that_is_not_there_is_recorded_as_not_sent():
+    record = await sent(evenly(100, 0.3), free_port())
+    assert record.counts()["unsent"] == 30 and not void(record, 10_000, 1.0)
+
+
+@on_loop
+async def test_an_answer_too_many_is_counted_and_is_nobodys():
+    class Twice(asyncio.Protocol):
+        def connection_made(self, transport):
+            self.transport = transport
+
+        def data_received(self, data):
+            self.transport.write(VALUE * 2)
+
+    server = await asyncio.get_running_loop().create_server(Twice, "127.0.0.1", 0)
+    record = await sent(evenly(50, 0.4), server.sockets[0].getsockname()[1])
+    assert record.surplus > 0 and record.counts()["served"] == 20
+    server.close()
+
+
+@on_loop
+async def test_one_killed_in_the_middle_loses_what_it_had_and_no_more():
+    host = StubHost()
+    await host.open()
+    host.script.play(Step("stall", delay=0.1))
+    killed = []
+
+    def kill(sender):
+        async def go():
+            for _ in range(20):
+                await host.arrived.get()
+            await host.die()
+            killed.append(True)
+            await host.open()
+
+        sender.task = asyncio.get_running_loop().create_task(go())
+
+    record = await sent(evenly(100, 1.0), host.port, wait=2.0, before=kill)
+    counts = record.counts()
+    assert killed and sum(counts.values()) == 100 and counts["served"] > 0
+    assert 0 < counts["lost"] + counts["unsent"] < 60
+    await host.__aexit__()
+
+
+@on_loop
+async def test_a_generator_that_was_starved_says_so_and_its_run_is_void():
+    async with StubHost() as host:
+        def starve(sender):
+            asyncio.get_running_loop().call_later(0.1, time.sleep, 0.4)
+
+        record = await sent(evenly(100, 0.8), host.port, before=starve)
+        why = void(record, 10.0, 0.001)
+        assert "the generator itself began" in why and record.late.get_max_value() >= 0.3 * US
+        told = report(record, "starved", why)
+        assert "VOID" in text(told) and told["due"] == 80
+        assert percentiles(record.of("served"))["max"] >= 300  # and latency is counted from when it was due
+
+
+@on_loop
+async def test_a_generator_without_descriptors_is_void(monkeypatch):
+    async with StubHost() as host:
+        loop = asyncio.get_running_loop()
+        dues = evenly(50, 0.2)
+
+        class Short(Sender):
+            pass
+
+        sender = Short(iter(dues), {"read": ClassPart()}, [("127.0.0.1", host.port)])
+        target = sender.targets[0]
+
+        async def none(asked):
+            sender.record.short += 1
+            sender.ended(asked, "unsent")
+
+        real = type(target).connect
+
+        async def connect(asked):
+            if asked.due.id in ("r3", "r4"):
+                error = OSError(errno.EMFILE, "too many")
+
+                async def fails(*_, **__):
+                    raise error
+
+                class Loop:
+                    create_connection = staticmethod(fails)
+
+                monkeypatch.setattr("calicomast.tools.load.send.asyncio.get_running_loop", lambda: Loop)
+                try:
+                    await real(target, asked)
+                finally:
+                    monkeypatch.undo()
+            else:
+                await real(target, asked)
+
+        target.connect = connect
+        target.idle = Never()
+        record = await sender.run()
+        assert record.short == 2 and "no descriptor" in void(record, 10_000, 1.0) and loop is not None
+
+
+class Never(list):
+    """No connection is kept."""
+
+    def append(self, _):
+        pass
+
+
+@on_loop
+async def test_none_and_one():
+    async with StubHost() as host:
+        record = await sent([], host.port)
+        assert report(record, "none", "")["due"] == 0 and percentiles(record.of()) == {}
+        record = await sent([due(0.05)], host.port)
+        assert record.counts()["served"] == 1
+
+
+@on_loop
+async def test_writes_carry_their_key_and_body():
+    async with StubHost() as host:
+        await sent([due(0.0, 7, "read")], host.port, effect="keyed")
+        assert host.commands[0][0] == b"API.WRITE" and b"k=r7" in host.commands[0][3]
+
+
+@on_loop
+async def test_a_run_from_the_command_line_and_one_that_is_stopped_midway(tmp_path):
+    scenario = ("[run]\nname = \"try\"\nseconds = {}\nlate_ms = 5000.0\n[classes.read]\n[plans.p]\n"
+                "employers = 3\n[[streams]]\nclass = \"read\"\nplan = \"p\"\n"
+                "shape = {{ kind = \"constant\", rate = 100.0 }}\n[targets]\ngateways = [\"127.0.0.1:{}\"]\n")
+    async with Site(tmp_path) as site:
+        await site.start()
+        file = tmp_path / "scenario.toml"
+        for seconds in (1.0, 60.0):
+            file.write_text(scenario.format(seconds, site.port))
+            program = await asyncio.create_subprocess_exec(
+                *PROGRAM, "load", "run", str(file), "--json", cwd=ROOT, stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE)
+            if seconds > 10:
+                for _ in range(50):
+                    await site.hosts[0].arrived.get()
+                while site.hosts[0].arrived.qsize():
+                    site.hosts[0].arrived.get_nowait()
+                await site.hosts[0].arrived.get()  # it is in the middle of it
+                program.send_signal(signal.SIGINT)
+            out, err = await program.communicate()
+            assert program.returncode == 0, err
+            told = json.loads(out)
+            assert told["due"] == sum(told["counts"].values()) > 0 and not told["void"]
+            assert told.get("stopped", False) is (seconds > 10) and told["counts"]["served"] > 0
+        file.write_text(scenario.format(1.0, 1).replace("\"127.0.0.1:1\"", ""))
+        ended = await asyncio.to_thread(subprocess.run, [sys.executable, "-m", "calicomast", "load", "run",
+                                                         str(file)], cwd=ROOT, capture_output=True, text=True)
+        assert ended.returncode == 2 and "none to send to" in ended.stderr
+
+
+@seed(15)
+@settings(max_examples=60, deadline=None, database=None)
+@given(st.lists(st.tuples(st.sampled_from(OUTCOMES), st.integers(1, 10_000_000), st.integers(0, 5)),
+                min_size=1, max_size=200), st.integers(0, 200))
+def test_records_of_several_processes_come_to_what_one_would_have(rows, cut):
+    one, parts = Record(), (Record(), Record())
+    for n, (outcome, latency, second) in enumerate(rows):
+        for record in (one, parts[n < cut]):
+            record.began(latency)
+            record.note(second * US, "read", "p", outcome, latency)
+    parts[0].add(parts[1])
+    assert report(one, "x", "") == report(parts[0], "x", "")
+    exact = sorted(latency for _, latency, _ in rows)
+    told = one.of()
+    for part in (50.0, 90.0, 99.0, 100.0):
+        true = exact[max(0, int(part * len(exact) / 100 + 0.5) - 1)]  # to the nearest rank
+        assert told.get_value_at_percentile(part) == pytest.approx(true, rel=0.002, abs=1)
