Discovery: a watch that dies is heard of within the grace of a drain

Cause: membership/discovery.py lines 16 to 19 and 62 to 73. A watch was held for 5 s and taken for dead 2 s after that, the very instant from which what it missed counts as told; the pause and the call for the whole list came on top, and while that one was silent it was waited for 2 s, with a pause that doubles to 1 s. Ruled out: the module and the core (they act in the turn in which a list is heard), waiting connects (they end with the list).

Change: the time of a hold, its lateness and the silence after which another whole list is asked for beside those that are out come from the grace in the settings, 0.85 of it together. A whole list that was asked for earlier and comes after a newer one is passed over (it brought a drained host back). A reload ends the old watch at once. A watch that ends with no news does not reach the module.

Each of the four tests was seen to fail without its line: the older list, the second call beside the first (it waits for ever), the old address, the empty change.

--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -144,15 +144,19 @@
             return EurekaSource(config.registry, self.listing, self.listed, self.core.list_failed, own,
                                 by_name,
                                 self.core.clock, belief=belief)
+        grace = config.settings.rules.drain_grace
         if config.trust is not None:
             from calicomast.membership.judge import Judge
 
             judge = Judge(config.trust, self.listing, self.listed, self.core.clock, belief)
-            return JudgedDiscovery(config.discovery, version, judge, self.core.list_failed)
-        return Discovery(config.discovery, version, self.listed, self.core.list_failed)
+            return JudgedDiscovery(config.discovery, version, judge, self.core.list_failed, grace)
+        return Discovery(config.discovery, version, self.listed, self.core.list_failed, grace)
 
     def listed(self, listing: Listing) -> None:
-        self.listing, self.listed_at = merged(self.listing, listing), time.monotonic()
+        self.listed_at = time.monotonic()
+        if self.core.ready and listing.hosts.mode == "delta" and not listing.hosts.hosts:
+            return  # a watch that ended with no news
+        self.listing = merged(self.listing, listing)
         self.core.listed(listing.hosts, listing.addresses)
         if self.core.ready:
             self.known.set()
@@ -212,6 +216,7 @@
         self.core.membership = source
         if replaced.watching:  # the watch begins with the whole list: another service has versions of its own
             source.watch(True)
+        replaced.watch(False)  # at once: what it was told in this turn of the loop is not heard any more
         self.ending(replaced.close())
 
     def ending(self, coroutine: Coroutine[object, object, None]) -> None:
@@ -363,8 +368,9 @@
 class JudgedDiscovery(Discovery):
     """Discovery whose lists are not taken at their word: not on the platform, whose agents do not lie."""
 
-    def __init__(self, address: Address, version: int, judge: Judge, failed: Callable[[], None]) -> None:
-        super().__init__(address, version, judge.hear_listing, failed)
+    def __init__(self, address: Address, version: int, judge: Judge, failed: Callable[[], None],
+                 grace: float) -> None:
+        super().__init__(address, version, judge.hear_listing, failed, grace)
         self.judge, self.belief = judge, judge.belief
 
     async def close(self) -> None:
--- a/calicomast/standins/discovery.py
+++ b/calicomast/standins/discovery.py
@@ -14,13 +14,16 @@
 
 class StandInDiscovery:
     """`servers` is the list. `change` ends the watches with entries that changed; `raw` is answered once in
-    place of the next answer; `silent`: it never answers; `lag`: seconds until a change is told."""
+    place of the next answer; `silent`: it never answers what is asked meanwhile, not even later; `held`:
+    whole lists are written once it is set, as they were when they were asked for; `lag`: seconds until a
+    change is told."""
 
     def __init__(self, gateway: str = "", ledger: Ledger | None = None) -> None:
         self.gateway, self.ledger = gateway, ledger
         self.servers: list[Entry] = []
         self.version, self.silent, self.lag = 1, False, 0.0
         self.raw: str | None = None
+        self.held: asyncio.Event | None = None
         self.calls: asyncio.Queue[dict[str, str]] = asyncio.Queue()
         self.log: list[tuple[int, list[Entry]]] = []  # what changed with each version
         self.woken = asyncio.Event()
@@ -45,7 +48,10 @@
             raw, self.raw = self.raw, None
             return web.Response(text=raw)
         if "index" not in request.query:
-            return self.tell({"version": self.version, "full": True, "servers": self.servers})
+            told = {"version": self.version, "full": True, "servers": self.servers}
+            if (held := self.held) is not None:
+                await held.wait()
+            return self.tell(told)
         index = int(request.query["index"])
         if index >= self.version:
             try:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -4,10 +4,11 @@
 import json
 
 import pytest
-from netkit import SERVED, Node, StubHost, command, entry, on_loop
+from netkit import PATIENCE, SERVED, Node, StubHost, command, entry, on_loop
 
 from calicomast import interface as api
 from calicomast.membership import discovery
+from calicomast.membership.discovery import Pace
 from calicomast.membership.listing import read_list
 
 
@@ -106,8 +107,8 @@
 
 @on_loop
 async def test_silent_discovery_is_asked_again_while_the_last_list_serves(tmp_path, monkeypatch):
-    monkeypatch.setattr(discovery, "WAIT", 0.1)
     monkeypatch.setattr(discovery, "ANSWER", 0.2)
+    monkeypatch.setattr(discovery.Pace, "within", lambda grace: Pace(wait=0.1, late=0.2, again=0.1))
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         while "index" not in await node.discovery.calls.get():
             pass
@@ -120,3 +121,103 @@
         while "index" not in await node.discovery.calls.get():
             pass  # it watches again
         assert await node.ask(command(b"r2")) == SERVED
+
+
+@pytest.mark.parametrize("grace", [0.3, 0.5, 0.7, 1.0, 2.0, 4.0, 60.0])
+def test_what_a_dead_watch_can_miss_is_heard_before_the_grace_of_a_drain_is_over(grace):
+    pace = Pace.within(grace)
+    assert pace.wait + pace.late + pace.again < grace
+    assert min(pace.wait, pace.late, pace.again) >= 0.04  # s; a list is not asked for in a busy loop
+    assert max(pace.wait, pace.late, pace.again) <= 2.0
+
+
+@on_loop
+async def test_a_silent_discovery_is_asked_again_beside_the_call_that_it_never_answers(tmp_path, monkeypatch):
+    monkeypatch.setattr(discovery, "ANSWER", 10.0 * PATIENCE)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        node.discovery.silent = True
+        for _ in range(3):
+            while "index" in await node.discovery.calls.get():
+                pass
+        node.discovery.silent = False
+        while "index" not in await node.discovery.calls.get():
+            pass  # it was told the whole list, and watches again
+        assert len(await quiet(node.node.discovery)) == 1  # those that were never answered are not kept
+
+
+async def quiet(source):
+    """The connections that its calls hold, once it holds no more than its watch does."""
+    held = source.session.connector._acquired
+    while len(held) > 1:
+        await asyncio.sleep(0)
+    return held
+
+
+@on_loop
+async def test_a_whole_list_that_comes_after_a_newer_one_brings_nothing_back(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        node.discovery.held = held = asyncio.Event()
+        node.node.discovery.fetch()
+        (fetching,) = node.node.discovery.fetching
+        while "index" in await node.discovery.calls.get():
+            pass  # it has been asked, and its answer is of before the change
+        node.discovery.change([entry(one, "h1", "draining")])
+        while set(node.node.hosts.pools) != {"h2"}:
+            await asyncio.sleep(0)
+        held.set()
+        await fetching
+        assert set(node.node.hosts.pools) == {"h2"} and node.node.discovery.version == 2
+
+
+@on_loop
+async def test_a_service_that_begins_anew_with_lower_versions_is_believed(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        node.node.discovery.version = 9
+        node.node.discovery.fetch()
+        (fetching,) = node.node.discovery.fetching
+        assert await fetching and node.node.discovery.version == 1
+
+
+@on_loop
+async def test_a_watch_that_ends_with_no_news_costs_the_module_nothing(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        seen, module = [], node.node.core.module
+        node.node.core.module = type("Watcher", (), {"handle": lambda _, now, event: (
+            seen.append(event), module.handle(now, event))[1]})()
+        node.discovery.change([])
+        await node.discovery.calls.get()  # the watch after it
+        assert not seen
+        node.discovery.change([entry(host, "h1", "draining")])
+        while not seen:
+            await asyncio.sleep(0)
+
+
+@on_loop
+async def test_the_old_address_is_not_heard_once_another_is_gone_over_to(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        while "index" not in await node.discovery.calls.get():
+            pass
+        old, heard, answer = node.node.discovery, [], node.node.loop.create_future()
+        asked = asyncio.Event()
+
+        async def get(params, limit):
+            asked.set()
+            heard.append(await answer)
+            await asyncio.Event().wait()
+
+        old.get = get
+        node.discovery.change([])
+        await asked.wait()
+        answer.set_result("a list")  # it is here, and the call goes on in the next turn of the loop
+        node.node.go_over(node.node.source(node.node.config, old.version))
+        while "index" not in await node.discovery.calls.get():
+            pass
+        assert not heard
