A client that leaves while its connection is not read has left

Need: a request whose client left while it waited is not to be sent on. Read: a connection with 512 commands in work, with answers not taken, or with commands deferred is not read (Client.throttle), and the loop tells the end of a connection only to those who read it; a probe with a silent host showed the end unseen until the first request's own time was over, with the others behind it sent on. Likewise a client that ended its sending while answers lay unwritten: the transport closes only once they are taken, 5 s later at the latest.

Change: what a client leaves behind is settled in one place, Client.leave, from the end of the connection, from the end of its sending, and from a look each 0.1 s at those that are not read (poll for a hang-up, which sees past unread bytes).

Result: two tests, each seen to wait for ever without its line.

--- a/calicomast/fronts/resp/server.py
+++ b/calicomast/fronts/resp/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import fcntl
 import math
+import select
 import socket
 import termios
 from collections import deque
@@ -22,6 +23,7 @@
 ENDING = 1.0  # s that a closing connection has for its last bytes: its client may never read them
 STUCK = 5.0  # s without the client taking its answers: it may never do so
 SWEEP = 0.25  # s between looks for those
+LOOK = 0.1  # s between looks whether a client that is not read has gone: nothing is to be sent on for it
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
 MOST_LOOKED_AT = 8  # idle connections asked for unread bytes when one has to go
 FAILED = b"-ERR failed\r\n"
@@ -75,8 +77,16 @@
         self.server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
         self.server.left(self)
+        self.leave()
+
+    def eof_received(self) -> None:
+        """The client has gone, also where answers that it did not take keep the connection from its end."""
+        self.leave()
+
+    def leave(self) -> None:
+        """Nobody hears the answers of what is in work: the one place for a client that went."""
+        self.closing = True
         pending, self.pending = self.pending, deque()
         for slot in pending:
             if slot.answer is None:
@@ -222,6 +232,14 @@
         if flooded != self.flooded and not self.transport.is_closing():
             self.flooded = flooded
             self.transport.pause_reading() if flooded else self.transport.resume_reading()
+            if flooded:
+                self.server.watch(self)
+
+    def hung_up(self) -> bool:
+        """Whether the client has ended its sending or the connection, behind what was not read yet."""
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(look.poll(0))
 
 
 class ClientServer:
@@ -234,6 +252,8 @@
         self.idle: dict[Client, float] = {}  # since when, oldest first
         self.ending: dict[Client, float] = {}
         self.stuck: dict[Client, float] = {}
+        self.unread: set[Client] = set()  # that are not read: their end would not be noticed
+        self.looking: asyncio.TimerHandle | None = None
         self.listener: asyncio.Server | None = None
         self.door: Any = None  # core.door.Door, where overload is on
         self.timer: asyncio.TimerHandle | None = None
@@ -279,6 +299,25 @@
         self.hold(client, 0)
         for place in (self.idle, self.ending, self.stuck):
             place.pop(client, None)
+        self.unread.discard(client)
+
+    def watch(self, client: Client) -> None:
+        self.unread.add(client)
+        if self.looking is None:
+            self.looking = asyncio.get_running_loop().call_later(LOOK, self.look)
+
+    def look(self) -> None:
+        """For clients that went while they are not read: the loop tells the end of a connection only to those
+        who read it."""
+        self.looking = None
+        for client in list(self.unread):
+            if not client.flooded or client.transport.is_closing():
+                self.unread.discard(client)
+            elif client.hung_up():
+                client.leave()
+                client.transport.abort()
+        if self.unread:
+            self.looking = asyncio.get_running_loop().call_later(LOOK, self.look)
 
     def rest(self, client: Client) -> None:
         self.idle.pop(client, None)
@@ -320,5 +359,6 @@
             client.close_when_done()
 
     def close(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.looking):
+            if timer is not None:
+                timer.cancel()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -193,3 +193,58 @@
         done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
         assert [task.result() for task in done] == [b"-ERR too much in work\r\n"]
         assert await node.ask(command()) == SERVED
+
+
+def outcomes(node):
+    """What each request ends with from now on, in order; an event for each."""
+    seen, core = asyncio.Queue(), node.node.core
+    finish = core.finish
+
+    def noted(work, outcome, *told):
+        seen.put_nowait((work.id, outcome))
+        finish(work, outcome, *told)
+
+    core.finish = noted
+    return seen
+
+
+@on_loop
+async def test_a_client_that_leaves_while_it_is_not_read_has_left(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        _, writer = await node.connect()
+        seen, server = outcomes(node), node.node.fronts[0].server
+        writer.write(command(b"first", terms(d="60000")))
+        await host.arrived.get()
+        writer.write(b"*1\r\n$4\r\nPING\r\n" * clients.MOST_PENDING)  # answered behind the first
+        while not (server.unread or server.clients and next(iter(server.clients)).flooded):
+            await asyncio.sleep(0)
+        writer.write(command(b"unread"))
+        writer.close()
+        assert await seen.get() == ("first", "gone")
+        while server.clients:
+            await asyncio.sleep(0)
+        assert not (node.node.core.works or server.unread or server.stuck) and len(host.commands) == 1
+
+
+@on_loop
+async def test_a_client_that_ends_its_sending_and_takes_no_answers_has_left(tmp_path):
+    async with StubHost(b"*3\r\n$60000\r\n%s\r\n$-1\r\n$-1\r\n" % (b"v" * 60000)) as host:
+        async with Node(host, path=tmp_path) as node:
+            _, writer = await node.connect()
+            writer.transport.pause_reading()
+            seen, server = outcomes(node), node.node.fronts[0].server
+            while not server.clients:
+                await asyncio.sleep(0)
+            (client,) = server.clients
+            client.transport.set_write_buffer_limits(high=10 ** 9)  # it is read on, whatever it takes
+            for n in range(400):
+                writer.write(command(b"r%d" % n, customer=b"%016x" % n))
+                assert await seen.get() == (f"r{n}", "served")
+                if client.transport.get_write_buffer_size():
+                    break
+            host.answer = None
+            writer.write(command(b"last", terms(d="60000"), customer=b"%016x" % 999))
+            while host.commands[-1][2] != b"last":
+                await host.arrived.get()
+            writer.write_eof()
+            assert await seen.get() == ("last", "gone") and not node.node.core.works
