The end of a request goes before what waits to be decided; idle hosts' limit at use

Need: the review of endings. core/life.py: a request's end (Core.gone, abandon) was queued for the module behind the events that waited, so that an event between could have the module send for a request that was over; Core.send then said nothing, and the module counted that attempt out at its host for good, which takes the host's place away from this gateway. net/hosts.py: a connection is closed before the hosts' idle time by a look each 0.5 s, and not looked at when it is used, so that with an idle time of about a second one could be used past it.

Change: Gone goes to the head of the queue; a Send that crossed the end is told as not sent; a connection that has rested for nine tenths of the idle time is not used.

--- a/calicomast/core/life.py
+++ b/calicomast/core/life.py
@@ -217,8 +217,12 @@
     # Events
 
     def feed(self, event: api.Event) -> None:
-        """Hands events over one after another: what an action causes at once waits its turn."""
-        self.events.append(event)
+        """Hands events over one after another: what an action causes at once waits its turn. But the end of a
+        request goes before all that waits, so that nothing is decided for it any more."""
+        if isinstance(event, api.Gone):
+            self.events.appendleft(event)
+        else:
+            self.events.append(event)
         if self.feeding:
             return
         self.feeding = True
@@ -344,16 +348,17 @@
 
     def send(self, action: api.Send) -> None:
         work = self.works.get(action.id)
-        if work is None or work.over:
+        if work is None:
             return
         number, left = work.sends, work.deadline - time.monotonic()
         work.sends += 1
         limits = self.settings.limits
-        unable = number >= limits.max_attempts or (work.live and not limits.second_copies)
+        # Over: its end crossed this. The module is told, or it would count one out at that host for good.
+        unable = work.over or number >= limits.max_attempts or (work.live and not limits.second_copies)
         if work.hooked is not None and left > 0 and not unable:
             left = self.told(work, action.host)
         if left <= 0 or unable:
-            self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, False))
+            self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, work.over))
             return
         wait = min(left, action.timeout) if action.timeout > 0 else left
         attempt = self.hosts.attempt(action.host, work.order.payload(wait), self.attempt_done, (work, number))
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -251,7 +251,7 @@
 
     def start(self, attempt: Attempt) -> None:
         now = monotonic()
-        latest, first = now - REST, now - self.hosts.staleness.limit
+        latest, first = now - REST, now - min(self.hosts.staleness.limit, self.hosts.idle_most)
         for conn in [conn for conn in reversed(self.idle) if first < conn.idle_since <= latest]:
             if conn.quiet():
                 self.idle.remove(conn)
@@ -313,7 +313,8 @@
 
     def __init__(self, connect_timeout: float, idle_close: float, most: int) -> None:
         self.connect_timeout, self.most = connect_timeout, most
-        self.idle_time = idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
+        self.idle_most = idle_close * (1 - IDLE_MARGIN)
+        self.idle_time = self.idle_most - IDLE_CHECK
         self.staleness = Staleness()  # over all hosts: what drops connections seldom lies at one of them
         self.pools: dict[str, Pool] = {}
         self.conns: set[Connection] = set()
--- a/tests/core/test_life.py
+++ b/tests/core/test_life.py
@@ -220,6 +220,30 @@
     assert [e.result for e in w.module.events if isinstance(e, api.Outcome)] == ["moot"]
 
 
+def test_the_end_of_a_request_goes_before_what_waits_to_be_decided():
+    """A client's end that is noticed while the module works: what it decides next knows of it."""
+    w = World()
+    place, other = w.take("a"), w.take("b")
+    w.core.actions[api.Log] = lambda _: (w.core.feed(api.Timer(7)), w.core.gone(place))
+    w.module.next = [api.Log("")]
+    w.core.feed(api.Timer(0))
+    assert [type(e) for e in w.module.events[-3:]] == [api.Timer, api.Gone, api.Timer]
+    w.core.gone(other)
+    assert not w.core.works
+
+
+def test_a_send_that_crossed_the_end_of_its_request_is_told_as_not_sent():
+    w = World()
+    place = w.take("a", [api.Send("a", "h1")])
+    w.hosts.out[0].written = True
+    w.core.gone(place)  # its attempt is out still, for the module to call off
+    w.module.next = [api.Send("a", "h2")]
+    w.core.feed(api.Timer(0))
+    told = w.module.events[-1]
+    assert (told.id, told.attempt, told.host, told.result, told.final) == ("a", 1, "h2", "moot", True)
+    assert len(w.hosts.sent) == 1
+
+
 def test_a_flood_on_one_front_leaves_room_for_the_others():
     w = World(most=100)
     w.core.join("other")
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -288,3 +288,31 @@
     assert 0.3 < staleness.limit < 0.9
     staleness.fade(300.0)
     assert staleness.limit == math.inf  # tried again in time
+
+
+@on_loop
+async def test_a_connection_that_comes_up_as_it_is_called_off_is_closed(tmp_path, monkeypatch):
+    made = hosts.Connection.connection_made
+
+    def called_off_in_this_turn(conn, transport):
+        made(conn, transport)
+        for attempt in list(conn.pool.coming):
+            node.node.hosts.give_up(attempt, "cancelled")
+
+    monkeypatch.setattr(hosts.Connection, "connection_made", called_off_in_this_turn)
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        assert (await node.ask(write(cls=b"note"))).startswith((b"-BUSY", b"-ERR"))
+        assert await host.arrived.get() is None and not host.commands  # it ended, and nothing came on it
+        assert not node.node.hosts.conns and not node.node.hosts.open
+
+
+@on_loop
+async def test_a_connection_is_not_used_so_near_to_the_hosts_idle_time(tmp_path, monkeypatch):
+    """Between two looks for idle ones as well, which are further apart than a short idle time."""
+    monkeypatch.setattr(hosts, "REST", 0.0)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert await node.ask(command(b"a")) == SERVED
+        (conn,) = node.node.hosts.pools["h1"].idle
+        conn.idle_since -= 28.0  # of the 30 s after which the host would close it
+        assert await node.ask(command(b"b")) == SERVED
+        assert len(host.writers) == 2
