Endings by the settings: the end of the process, repeats near the memory's end, second answers

Now from the classes' deadlines (3.4 s at this site, as before). - daemon/node.py: a stop ended with answers in the program's own buffers, which end with it. It waits until they are written, within the same time. - fronts/resp/server.py close_when_done: a command of which half was read was cut off as a rest between two. It is served once whole; a stop waits for it for 0.25 s, so that a client that never goes on holds nothing up. - policy.py fits: a repeat of a keyed request was decided up to 0.02 s before the hosts forget it, and may wait for its connection for 0.25 s: it ran twice at the worst. The limits' connect timeout goes off the memory. - net/hosts.py: a connection rests 0.02 s for 0.002 before it is used again: a second answer some milliseconds late would be taken for the next request's.

--- a/calicomast/daemon/config.py
+++ b/calicomast/daemon/config.py
@@ -19,6 +19,11 @@
     from calicomast.membership.eureka.source import Registry
 
 
+# s: the platform's SIGKILL comes no sooner after SIGTERM than the longest deadline, or LONGEST where that is
+# less, and KILL more; by SPARE before that everything is answered
+LONGEST, KILL, SPARE = 3.0, 0.7, 0.3
+
+
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why in one line."""
 
@@ -47,7 +52,7 @@
     overload: tuple[float, float] | None = None  # s: aim for the loop's lag, and most of one turn; None: off
     leave: tuple[str, ...] = ()  # zones to which nothing new goes, by the operator's word
     linger: float = 0.5  # s after SIGTERM in which connections still come
-    finish: float = 3.4  # s after SIGTERM by which everything is answered: the platform's SIGKILL is not far
+    finish: float = 3.4  # s after SIGTERM by which everything is answered
 
 
 def read_config(env: Mapping[str, str] = os.environ, again: bool = False) -> Config:
@@ -74,7 +79,8 @@
             sockets=int(told["limits"]["sockets"]),
             known=read_list(told["known"], "cached"), settings=settings,
             connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
-            max_open=int(limits["max_open"]))
+            max_open=int(limits["max_open"]),
+            finish=min(LONGEST, max(c.deadline for c in settings.classes.values())) + KILL - SPARE)
     except KeyError as err:
         raise ConfigError(f"{path}: missing or unknown {err}") from err
     except (OSError, ValueError, TypeError, AttributeError) as err:
--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -33,6 +33,7 @@
 OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 SETTLE = 1.0  # s that clients of gRPC have to hear that connections end, and to let them
+HALF = 0.25  # s that the rest of a command may take to come once connections end
 READ = 0.005  # s for the loop to read what lay in the sockets when the connections were told to end
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 
@@ -347,9 +348,12 @@
         while door is not None and door.waiting and time.monotonic() < until:  # read, and not looked at yet
             await asyncio.sleep(0)
         for front in self.fronts:
-            await front.settled(min(SETTLE, max(0.0, until - time.monotonic())))
+            most = SETTLE if front.address in self.config.grpc else HALF
+            await front.settled(min(most, max(0.0, until - time.monotonic())))
         await self.core.drain(began + self.config.finish - time.monotonic())
-        await asyncio.sleep(0)  # the last answers are written at the end of this turn
+        await asyncio.sleep(0)  # the last answers are written at the end of this turn, if they are taken
+        while any(front.owes for front in self.fronts) and time.monotonic() < until:
+            await asyncio.sleep(READ)
         for front in self.fronts:
             front.close()
         self.hosts.close()
--- a/calicomast/daemon/settings.py
+++ b/calicomast/daemon/settings.py
@@ -483,7 +483,7 @@
                               p.ceiling_burst, p.ceiling_slack) for name, p in told.plans.items()},
         limits=api.Limits(limits.cancel, limits.second_copies, False, False, limits.retry_after,
                           limits.max_attempts,
-                          limits.max_retry_after),
+                          limits.max_retry_after, limits.connect_timeout),
         rules=api.Rules(0.0, rules.drain_grace, rules.cold_share, rules.cold_time, rules.fall_multiple,
                         rules.fall_time, 0.0),
         prices={"cross_zone": told.hosts.cross_zone}, counter=bool(told.counter.address),
--- a/calicomast/fronts/grpc/front.py
+++ b/calicomast/fronts/grpc/front.py
@@ -338,6 +338,11 @@
             async with asyncio.timeout(seconds):
                 await self.drained()
 
+    @property
+    def owes(self) -> bool:
+        """Nothing: `settled` waited for its connections."""
+        return False
+
     async def drained(self) -> None:
         """Until its last connection has ended."""
         while self.connections or self.greeting:
--- a/calicomast/fronts/resp/front.py
+++ b/calicomast/fronts/resp/front.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import socket
+from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 from calicomast import interface as api
@@ -17,6 +19,7 @@
     from calicomast.fronts.resp.outline import Outline, Outliner
 
 PONG = b"+PONG\r\n"
+LOOK = 0.005  # s between looks for the rest of half commands at the end
 
 log = logging.getLogger(__name__)
 
@@ -64,7 +67,15 @@
         self.server.finish()
 
     async def settled(self, seconds: float) -> None:
-        """What was read is taken; the core answers it."""
+        """Until commands that came in part have come whole, and are taken; the core answers them."""
+        until = monotonic() + seconds
+        while self.server.partial and monotonic() < until:
+            await asyncio.sleep(LOOK)
+
+    @property
+    def owes(self) -> bool:
+        """Whether an answer that was given is not written whole."""
+        return self.server.owes
 
     async def drained(self) -> None:
         """Until its last connection has ended."""
--- a/calicomast/fronts/resp/server.py
+++ b/calicomast/fronts/resp/server.py
@@ -181,10 +181,10 @@
 
     def close_when_done(self) -> None:
         """What still comes on it before that is served too: it was taken. So was what lies unread in its
-        socket: a connection that asks just now ends with that answer, or by time where it is half a
-        command."""
+        socket, and a command of which half was read is not between two requests: a connection that asks just
+        now ends with that answer, or by time where the rest does not come."""
         self.closing = True
-        if self.pending or self.transport.is_closing() or not self.unread():
+        if self.pending or self.transport.is_closing() or not (self.partial or self.unread()):
             self.flush()
 
     def flush(self) -> None:
@@ -347,6 +347,11 @@
         if self.listener:
             self.listener.close()
 
+    @property
+    def owes(self) -> bool:
+        """Whether an answer is not written whole."""
+        return any(client.transport.get_write_buffer_size() for client in self.clients)
+
     async def empty(self) -> None:
         while self.clients:
             self.last = asyncio.get_running_loop().create_future()
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -70,6 +70,7 @@
     retry_after: bool
     max_attempts: int
     max_retry_after: float
+    connect_timeout: float = 0.0  # s after which an attempt that was sent reaches its host at the latest
 
     def __post_init__(self) -> None:
         _need(self.max_attempts >= 1, "max_attempts must be at least 1")
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -23,7 +23,7 @@
 from calicomast.net.framing import MOST_BODY, NO_MESSAGE, Framing, FramingError
 from calicomast.settings import read_report
 
-REST = 0.002  # s after an answer in which what came behind it, a second copy or noise, can still show itself
+REST = 0.02  # s after an answer in which what came behind it, a second copy or noise, can still show itself
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
 AGES = [0.02 * 1.5 ** k for k in range(18)]  # s; steps of the time that connections have rested, up to 20 s
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -590,6 +590,7 @@
 class Gateway:
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.set, self.born, self.rng = settings, now, random.Random(seed)
+        self.reach = max(TICK, settings.limits.connect_timeout)  # s until a repeat is at its host
         self.fleet, self.counter = Fleet(settings, self.rng), Counter(settings)
         self.uses = {(p, again): PlanUse(GRANT_PRIOR[again]) for p in self.set.plans for again in (0, 1)}
         self.forgotten = Forgotten(settings.most_accounts) if settings.most_accounts else None
@@ -1041,7 +1042,7 @@
         unproven = job.ran + list(job.live.values())
         if s.host.id in job.avoid or not unproven or job.cls.effect == "safe":
             return s.host.id not in job.avoid
-        if job.cls.effect == "unsafe" or now >= min(t for _, t in unproven) + job.cls.memory - TICK:
+        if job.cls.effect == "unsafe" or now >= min(t for _, t in unproven) + job.cls.memory - self.reach:
             return False
         if any(h not in self.fleet.servers for h, _ in unproven):
             return False
--- a/calicomast/settings.py
+++ b/calicomast/settings.py
@@ -60,7 +60,8 @@
             cancel=flag(lim, "cancel"), second_copies=flag(lim, "second_copies"),
             probes=flag(lim, "probes"), peers=flag(lim, "peers"), retry_after=flag(lim, "retry_after"),
             max_attempts=int(lim["max_attempts"]),
-            max_retry_after=seconds(lim.get("max_retry_after", "0"))),
+            max_retry_after=seconds(lim.get("max_retry_after", "0")),
+            connect_timeout=seconds(lim.get("connect_timeout", "0"))),
         rules=api.Rules(
             answer_slack=seconds(rules["answer_slack"]), drain_grace=seconds(rules["drain_grace"]),
             cold_share=float(rules["start_capacity"]), cold_time=seconds(rules["cold"]),
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -103,6 +103,37 @@
             assert got == SERVED
 
 
+@on_loop
+async def test_half_a_command_when_connections_are_told_to_end_is_served_once_whole(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        front, text = node.node.fronts[0], command()
+        writer.write(text[:20])
+        while not front.server.partial:
+            await asyncio.sleep(0)
+        ending = asyncio.create_task(node.node.stop(0.0))
+        while not all(client.closing for client in front.server.clients):
+            await asyncio.sleep(0)
+        writer.write(text[20:])
+        assert await read_reply(reader) == SERVED and await read_reply(reader) == b""
+        await ending
+
+
+@on_loop
+async def test_the_end_waits_for_an_answer_that_is_half_written(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        owed = iter([True, True, False])
+
+        class Front(type(node.node.fronts[0])):
+            @property
+            def owes(self):
+                return next(owed, False)
+
+        node.node.fronts[0].__class__ = Front
+        await node.node.stop(0.0)
+        assert next(owed, None) is None  # asked until nothing was owed
+
+
 @pytest.mark.parametrize("sent, told", [(b"", b""), (b"*4\r\n$8\r\nAPI.R", b"-ERR"),
                                         (b"*1\r\n$4\r\nPING\r\n", b"+PONG")])
 @on_loop
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -316,3 +316,15 @@
         conn.idle_since -= 28.0  # of the 30 s after which the host would close it
         assert await node.ask(command(b"b")) == SERVED
         assert len(host.writers) == 2
+
+
+@on_loop
+async def test_a_second_answer_some_milliseconds_later_is_nobodys(tmp_path, monkeypatch):
+    """Until it could have shown itself the connection rests, whoever waits for one."""
+    now = [1000.0]
+    monkeypatch.setattr(hosts, "monotonic", lambda: now[0])
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        for id, later, lines in ((b"a", 0.0, 1), (b"b", 0.012, 2), (b"c", 0.3, 2)):
+            now[0] += later
+            assert await node.ask(command(id)) == SERVED
+            assert len(host.writers) == lines
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -12,6 +12,7 @@
 from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
 
 from calicomast.counting.client import LINES
+from calicomast.daemon.config import read_config
 
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -38,6 +39,17 @@
     assert ended.stderr.startswith("calicomast: ") and ended.stderr.count("\n") == 1 and word in ended.stderr
 
 
+@pytest.mark.parametrize("longest, finish", [(0.3, 0.7), (1.8, 2.2), (3.0, 3.4), (6.0, 3.4), (60.0, 3.4)])
+def test_everything_is_answered_before_the_platforms_kill_whatever_the_deadlines(longest, finish, tmp_path):
+    tree = told([entry(None, port=1)], 1, 2)
+    for part in tree["settings"]["services"]:
+        part["deadline"], part["slo"] = int(longest * 1e9), int(longest * 5e8)
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(tree))
+    config = read_config({"RELAY_CONFIG": str(file)})
+    assert config.finish == pytest.approx(finish) and config.finish < min(longest, 3.0) + 0.7
+
+
 @on_loop
 async def test_sigterm_ends_the_program_after_what_it_has_taken(tmp_path):
     async with StubHost(None) as host, StubCounter() as counter, StubDiscovery() as discovery:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -302,3 +302,15 @@
     assert of(acts, api.Send)
     w.wait(2.5)
     assert bool([a for _, a in w.log if isinstance(a, api.Cancel) and a.id == name]) == second
+
+
+@pytest.mark.parametrize("at, again", [(0.7, True), (0.8, False)])
+def test_a_repeat_is_at_its_host_while_that_remembers(at, again):
+    """It may wait for its connection, and what comes after the memory's time would run once more."""
+    w = World(settings(limits={"connect_timeout": 0.25}), hosts=[host("h1"), host("h2")])
+    _, acts = w.ask(cls="write")
+    (send,) = of(acts, api.Send)
+    w.now += at  # of the 1 s that hosts of a zone remember it
+    acts = w.end(send, "reset")
+    assert bool(of(acts, api.Send)) == again
+    assert bool(of(acts, api.Fail)) != again
