Tests: clients that leave while their request waits, and what each attempt is owed

Change: over sockets, a client leaves while its request is held by the module (whatever that waits for), between two attempts, and while its connection comes up (a listener whose queue is full); none is sent on though the module decides so. The walk of random endings over the core now asserts at each step that what was taken is answered, gone or in work, that nothing is sent for what is over, and at rest that each attempt the module decided on had its one outcome.

--- a/tests/core/test_life.py
+++ b/tests/core/test_life.py
@@ -65,9 +65,12 @@
 
     def __init__(self):
         self.out, self.sent, self.places = [], [], {}
+        self.late = []  # sent for a request that was over
 
     def send(self, attempt, timeout):
         assert timeout > 0 and not attempt.result
+        if attempt.tag[0].over:
+            self.late.append(attempt)
         self.out.append(attempt)
         self.sent.append(attempt)
 
@@ -307,14 +310,21 @@
             for work in w.core.works.values():
                 assert len(work.live) <= 1
             assert w.core.open.used == len(w.core.works) <= 5
+            waiting = {work.id for work in w.core.works.values() if not work.over}
+            assert len(places) == sum(bool(p.answers) for p in places) + len(gone) + len(waiting)
+            assert not w.hosts.late
         w.module.next = []
         w.loop.fire()
         for attempt in w.hosts.out:
             attempt.end("reset")
     finally:
         logging.disable(logging.NOTSET)
+    told = [(e.id, e.attempt) for e in w.module.events if isinstance(e, api.Outcome)]
     for place in places:
         assert len(place.answers) == (place not in gone), place.answers
+        if place.token is not None:  # each attempt that the module decided on has its one outcome
+            work = place.token
+            assert sorted(told.count((work.id, n)) for n in range(work.sends)) == [1] * work.sends
     assert not w.core.works and not w.core.open.used and not w.core.held.used
 
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -7,6 +7,7 @@
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
 
+from calicomast import interface as api
 from calicomast.fronts.resp import server as clients
 
 
@@ -279,3 +280,72 @@
                 await host.arrived.get()
             writer.write_eof()
             assert await seen.get() == ("last", "gone") and not node.node.core.works
+
+
+class Waiting:
+    """A module that does what stands here for the next event of a kind."""
+
+    def __init__(self, **does):
+        self.does, self.seen = does, asyncio.Queue()
+
+    def handle(self, now, event):
+        kind = type(event).__name__
+        self.seen.put_nowait(kind)
+        return list(self.does.get(kind, ()))
+
+
+@pytest.mark.parametrize("first", [None, "h1"])
+@on_loop
+async def test_a_request_whose_client_left_while_it_waited_is_never_sent_on(first, tmp_path):
+    """It waits for whatever the module waits for, or between two attempts; `first` turned it away."""
+    async with StubHost(b"-BUSY\r\n") as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        core = node.node.core
+        begins = [api.Send("r1", first)] if first else []
+        core.module = Waiting(Request=begins, Timer=[api.Send("r1", "h2")])
+        _, writer = await node.connect()
+        writer.write(command())
+        while await core.module.seen.get() != ("Outcome" if first else "Request"):
+            pass
+        writer.close()
+        while await core.module.seen.get() != "Gone":
+            pass
+        core.feed(api.Timer(0))  # the module did not hear of it in time
+        assert not core.works and not node.node.hosts.open - len(node.node.hosts.conns)
+        core.module = Waiting(Request=[api.Send("r2", "h2")])
+        assert await node.ask(command(b"r2")) == SERVED
+        assert [c[2] for c in two.commands] == [b"r2"]
+
+
+@on_loop
+async def test_a_request_whose_client_left_while_its_connection_came_up_is_never_sent_on(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        core, loop = node.node.core, asyncio.get_running_loop()
+        with socket.socket() as full, contextlib.ExitStack() as stack:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            fill = [stack.enter_context(socket.socket()) for _ in range(4)]
+            for sock in fill:  # the queue of those that nobody accepts is full: the next comes up late
+                sock.setblocking(False)
+                sock.connect_ex(full.getsockname())
+            node.node.hosts.listed("h1", full.getsockname())
+            node.node.hosts.connect_timeout = 60.0
+            core.module = Waiting(Request=[api.Send("r1", "h1")])
+            _, writer = await node.connect()
+            writer.write(command())
+            while await core.module.seen.get() != "Request":
+                pass
+            assert node.node.hosts.pools["h1"].coming
+            writer.close()
+            while await core.module.seen.get() != "Gone":
+                pass
+            assert not node.node.hosts.open and not core.works
+            full.setblocking(False)
+            for sock in fill:
+                sock.close()
+            while True:  # what did come up brings no byte
+                try:
+                    got, _ = full.accept()
+                except BlockingIOError:
+                    break
+                with got:
+                    assert await loop.sock_recv(got, 100) == b""
