--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -74,6 +74,42 @@
         assert await program.wait() == 0
 
 
+@pytest.mark.parametrize("behind", [(signal.SIGTERM,), (signal.SIGHUP,),
+                                    (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)])
+@on_loop
+async def test_signals_behind_a_sigterm_take_nothing_from_what_was_taken(behind, tmp_path):
+    """Also half a command that came before it, and a SIGHUP just ahead."""
+    async with StubHost(None) as host, StubCounter() as counter, StubDiscovery() as discovery:
+        config = tmp_path / "config.json"
+        discovery.servers = [entry(host)]
+        config.write_text(json.dumps(told(discovery.servers, discovery.port, counter.port)))
+        program = await asyncio.create_subprocess_exec(
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+        port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        other_reader, other = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(command(b"first"))
+        await host.arrived.get()
+        text = command(b"second", customer=b"%016x" % 7)
+        other.write(PING + text[:30])
+        assert await read_reply(other_reader) == b"+PONG\r\n"
+        program.send_signal(signal.SIGHUP)
+        program.send_signal(signal.SIGTERM)
+        third_reader, third = await asyncio.open_connection("127.0.0.1", port)
+        third.write(PING)
+        while await read_reply(third_reader) == b"+PONG\r\n":  # until it has heard of its end
+            third.write(PING)
+        for number in behind:
+            program.send_signal(number)
+        other.write(text[30:])
+        while (await host.arrived.get())[2] != b"second":
+            pass
+        for out in host.writers:
+            out.write(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+        assert await read_reply(reader) == SERVED and await read_reply(other_reader) == SERVED
+        assert await program.wait() == 0
+
+
 @on_loop
 async def test_a_killed_gateway_starts_again_at_its_address(tmp_path):
     async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
