--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -5,6 +5,7 @@
 import math
 import os
 import socket
+import struct
 import time
 
 import pytest
@@ -328,3 +329,32 @@
             now[0] += later
             assert await node.ask(command(id)) == SERVED
             assert len(host.writers) == lines
+
+
+@on_loop
+async def test_a_request_that_breaks_off_before_its_last_byte_was_written_never_ran(tmp_path, monkeypatch):
+    made, lines = hosts.Connection.connection_made, []
+
+    def with_little_room(conn, transport):
+        made(conn, transport)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        lines.append(conn)
+
+    monkeypatch.setattr(hosts.Connection, "connection_made", with_little_room)
+    loop = asyncio.get_running_loop()
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        with socket.socket() as stuck:  # a host that reads nothing
+            stuck.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            stuck.bind(("127.0.0.1", 0))
+            stuck.listen()
+            stuck.setblocking(False)
+            node.node.hosts.listed("h1", stuck.getsockname())
+            text = command(b"r1", terms(c="note"), b"API.WRITE", body=b"x" * 60_000)
+            asked = asyncio.create_task(node.ask(text))
+            got, _ = await loop.sock_accept(stuck)
+            while not (lines and lines[0].attempt is not None and not lines[0].written):
+                await asyncio.sleep(0)
+            stuck.close()
+            got.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            got.close()  # a reset
+            assert (await asked).startswith(b"-BUSY")  # a refusal: it has not run
