--- a/tests/faults/test_workers.py
+++ b/tests/faults/test_workers.py
@@ -294,7 +294,8 @@
     async with Group(tmp_path, hosts=1, answer=lambda: None) as site:
         first = await site.up(2)
         reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
-        note = command(b"n1", b"c=note,t=p,d=3000,units=1,spread=1,first=0", b"API.WRITE", body=b"B")
+        # Long enough for the successor to start on a busy machine: past it the id would rightly be free.
+        note = command(b"n1", b"c=note,t=p,d=9000,units=1,spread=1,first=0", b"API.WRITE", body=b"B")
         writer.write(note)
         await site.hosts[0].arrived.get()
         second = await successor(site, "--workers", "2")
--- a/tests/hooks/test_modules.py
+++ b/tests/hooks/test_modules.py
@@ -14,6 +14,7 @@
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples" / "plugins"
 BUDGET = Budget(fuel=50_000, memory=1024 * 1024)
+SLOW = Budget(fuel=50_000, memory=1024 * 1024, time=5.0)  # for a call that its fuel is to end
 VIEW = View("r1", "c1", "basic", "read", 1.0, 3.0, 100.0)
 
 
@@ -61,7 +62,8 @@
     sound = ("(if (i32.ne (i32.load (i32.const 4156)) (i32.const 2))"
              "(then (return (i64.const 0xa00000000003))))"
              "(i32.store (i32.const 900) (i32.const 77))")
-    plugin = made('(data (i32.const 40960) "tag")\n' + on("request", sound + body))
+    # Its fuel is to end it, not its time, which a busy machine spends for it.
+    plugin = made('(data (i32.const 40960) "tag")\n' + on("request", sound + body), budget=SLOW)
     for _ in range(3):
         with pytest.raises(PluginFailed) as caught:
             plugin.call(REQUEST, VIEW)
