Signals before there is a gateway: a SIGHUP is kept, a SIGTERM ends with 0

Seen: a program held where it reads its configuration (a pipe) ended with -1 on SIGHUP and -15 on SIGTERM, since handlers were added once the gateway was built: all imports and the reading of the file lay before that. A gateway that is restarted while a new configuration goes round crashed. The daemon with settings of its own had the same window, and dropped a SIGHUP between its handlers and its gateway.

Change: daemon/early.py hears both before anything else is loaded; platform and daemon look there once they serve. The environment's discovery is older than the file by then, so the reload goes by the file.

Tests: the program is held in the pipe, signalled, and let go. Without the mend: `assert b'listens on' in b''`, `assert -15 == 0`, `ended without reload:`.

Checked and left: a worker that its supervisor starts while SIGHUP comes is not told, as it read the file after.

--- a/calicomast/cli/main.py
+++ b/calicomast/cli/main.py
@@ -189,6 +189,9 @@
 def run(told: argparse.Namespace) -> int:
     # Each command imports what it needs and no more: a start loads none of the tools.
     if told.command == "serve":
+        from calicomast.daemon import early
+
+        early.listen()  # before what takes long to load
         from calicomast.daemon.serve import serve
 
         return serve(told.file, told.take_over, told.workers)
--- a/calicomast/daemon/platform.py
+++ b/calicomast/daemon/platform.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from calicomast.daemon import early
 from calicomast.daemon.config import Config, ConfigError, read_config
 from calicomast.daemon.logs import start_log
 from calicomast.daemon.node import GatewayNode
@@ -25,6 +26,8 @@
     port = await node.start()
     gc.freeze()  # what the start made stays for good: no collection need look at it again
     logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
+    if early.told_to_reload():
+        reload(node)
     await told.wait()
     await node.stop()
 
--- a/calicomast/daemon/serve.py
+++ b/calicomast/daemon/serve.py
@@ -18,6 +18,7 @@
 import uvloop
 
 from calicomast.checked import Faulty
+from calicomast.daemon import early
 from calicomast.daemon.config import Config, ConfigError, read_config
 from calicomast.daemon.handover import Busy, HandOverFailed, Heir, Keeper
 from calicomast.daemon.lock import Lock, Locked
@@ -96,6 +97,8 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.hup)
         try:
             if await self.start(take_over):  # else it was told to stop before it served
+                if early.told_to_reload():
+                    self.hup()
                 await self.told.wait()
                 await self.stop()
         finally:
@@ -247,6 +250,8 @@
             self.again = True
         elif hasattr(self, "node"):
             self.reloading = self.loop.create_task(self.reload())
+        else:  # the settings were read before
+            early.note()
 
     async def reload(self) -> None:
         try:
--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -2,7 +2,10 @@
 
 import sys
 
-from calicomast.daemon.platform import main
+from calicomast.daemon import early
 
 if __name__ == "__main__":
+    early.listen()
+    from calicomast.daemon.platform import main
+
     sys.exit(main())
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -8,7 +8,7 @@
 import sys
 
 import pytest
-from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, told
+from netkit import SERVED, Held, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, told
 from rig import PROGRAM, ROOT, Site, free_port
 
 from calicomast.daemon.lock import Lock, Locked
@@ -167,3 +167,22 @@
         site.file.write_text("[plans.p]\nrate = 1.0\nburst = 1.0\n")
         bad = await site.start(env=env, ready=False)
         assert await bad.wait() == 2 and b"is told by RELAY_CONFIG" in await bad.stderr.read()
+
+
+@on_loop
+async def test_a_sighup_while_its_configuration_is_read_is_taken_up_once_it_serves(tmp_path):
+    """The settings were read before: the file that is there by then has another number."""
+    async with (StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery,
+                Site(tmp_path) as site):
+        discovery.servers = [entry(host)]
+        port, config = free_port(), tmp_path / "config.json"
+        text = json.dumps(told([entry(host)], discovery.port, counter.port) | {"listen": f"127.0.0.1:{port}"})
+        site.file.write_text("[daemon]\nlog_lines = 1000\n")
+        held = Held(config, text)
+        program = await site.start(env={"RELAY_CONFIG": str(config)}, ready=False)
+        async with held as file:
+            site.file.write_text("[daemon]\nlog_lines = 2000\n")
+            program.send_signal(signal.SIGHUP)
+            file.write(text)
+        assert b"took effect: daemon.log_lines" in await site.line(program, b"reload: ")
+        assert await site.ask(command(), port) == SERVED
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -1,8 +1,10 @@
 """A real gateway among stand-ins on loopback."""
 
 import asyncio
+import errno
 import functools
 import json
+import os
 
 import uvloop
 
@@ -60,6 +62,34 @@
     return platform_entry(name, port or host.port, state)
 
 
+class Held:
+    """A program held where it reads its file: a pipe, of which it has opened its end. `replaced`: what it
+    finds there the next time."""
+
+    def __init__(self, path, replaced=""):
+        self.path, self.replaced = path, replaced
+        os.mkfifo(path)
+
+    async def __aenter__(self):
+        while True:
+            try:
+                end = os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+                break
+            except OSError as err:
+                if err.errno != errno.ENXIO:  # nobody reads yet
+                    raise
+                await asyncio.sleep(0.01)
+        os.set_blocking(end, True)
+        self.file = open(end, "w", encoding="utf-8")
+        new = self.path.with_suffix(".new")
+        new.write_text(self.replaced)
+        os.replace(new, self.path)
+        return self.file
+
+    async def __aexit__(self, *_):
+        self.file.close()
+
+
 class Node:
     """A gateway with a counter and discovery of its own and the given hosts, named h1, h2 and so on."""
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -9,7 +9,18 @@
 from pathlib import Path
 
 import pytest
-from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
+from netkit import (
+    SERVED,
+    Held,
+    StubCounter,
+    StubDiscovery,
+    StubHost,
+    command,
+    entry,
+    on_loop,
+    read_reply,
+    told,
+)
 
 from calicomast.counting.client import LINES
 from calicomast.daemon.config import read_config
@@ -110,6 +121,35 @@
         assert await program.wait() == 0
 
 
+@on_loop
+async def test_a_sighup_before_there_is_a_gateway_is_taken_up_once_there_is(tmp_path):
+    """The program reads its configuration just then, which is not the newest any more."""
+    async with StubCounter() as counter, StubDiscovery() as discovery, StubDiscovery() as new:
+        config = tmp_path / "config.json"
+        held = Held(config, json.dumps(told([], new.port, counter.port)))
+        env = {**os.environ, "RELAY_CONFIG": str(config), "RELAY_DISCOVERY": f"127.0.0.1:{discovery.port}"}
+        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+        async with held as file:
+            program.send_signal(signal.SIGHUP)
+            file.write(json.dumps(told([entry(None, port=1)], discovery.port, counter.port)))
+        assert b"listens on" in await program.stderr.readline()
+        await new.calls.get()
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+
+
+@on_loop
+async def test_a_sigterm_before_there_is_a_gateway_ends_it(tmp_path):
+    config = tmp_path / "config.json"
+    held = Held(config)
+    program = await asyncio.create_subprocess_exec(
+        *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+    async with held:
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+    assert await program.stderr.read() == b""
+
+
 @on_loop
 async def test_a_killed_gateway_starts_again_at_its_address(tmp_path):
     async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
