A listener closes once what the kernel took from clients has been accepted

Seen: the table of endings had no test for a connection that the kernel took and nobody accepted when the listener closes. Forced (the connect and its request in the last turn before the close), the client got ECONNRESET: a request was lost.

Change: GatewayNode.finish is the one place where listeners close, for the stop and for a reload. It looks whether a connection waits there and goes on accepting, 0.1 s at most. The looks past the loop (unaccepted, hung up, unread) stand together in net/looks.py.

--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -34,6 +34,7 @@
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 SETTLE = 1.0  # s that clients of gRPC have to hear that connections end, and to let them
 HALF = 0.25  # s that the rest of a command may take to come once connections end
+LAST = 0.1  # s for what waits at a listener about to close; where it never ends, later ones are reset
 READ = 0.005  # s for the loop to read what lay in the sockets when the connections were told to end
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 
@@ -247,11 +248,11 @@
         for front in leaving:
             if limits is not None:
                 limits.left(front)
-            front.finish()
             self.ending(self.left(front))
 
     async def left(self, front: RespFront | GrpcFront) -> None:
-        """A front whose listener is gone: what it took is answered, then its connections end."""
+        """A front whose listener goes: what it took is answered, then its connections end."""
+        await self.finish([front])
         await front.drained()
         front.close()
 
@@ -334,6 +335,16 @@
 
     # The end
 
+    @staticmethod
+    async def finish(fronts: Sequence[RespFront | GrpcFront]) -> None:
+        """Closes listeners and resting connections, once what waited at the listeners has been accepted: the
+        kernel took it, and a close would reset it with the requests that it carries."""
+        last = time.monotonic() + LAST
+        while any(front.unaccepted for front in fronts) and time.monotonic() < last:
+            await asyncio.sleep(READ)
+        for front in fronts:
+            front.finish()
+
     async def stop(self, linger: float | None = None) -> None:
         """After SIGTERM: goes on while connections still come, then finishes what it has taken."""
         began = time.monotonic()
@@ -341,8 +352,7 @@
         for front in self.fronts:
             front.stopping()
         await asyncio.sleep(self.config.linger if linger is None else linger)
-        for front in self.fronts:
-            front.finish()
+        await self.finish(self.fronts)
         await asyncio.sleep(READ)
         door, until = self.core.door, began + self.config.finish
         while door is not None and door.waiting and time.monotonic() < until:  # read, and not looked at yet
--- a/calicomast/fronts/grpc/front.py
+++ b/calicomast/fronts/grpc/front.py
@@ -13,6 +13,7 @@
 
 from calicomast.core.life import Core
 from calicomast.fronts.grpc.wire import Call, Event, Gone, Heard, Opened, Session
+from calicomast.net import looks
 from calicomast.net.address import Address
 from calicomast.net.rpc import INTERNAL, UNAVAILABLE, UNIMPLEMENTED
 
@@ -338,6 +339,11 @@
             async with asyncio.timeout(seconds):
                 await self.drained()
 
+    @property
+    def unaccepted(self) -> bool:
+        """Whether a connection waits at its listener."""
+        return self.listener is not None and looks.unaccepted(self.listener)
+
     @property
     def owes(self) -> bool:
         """Nothing: `settled` waited for its connections."""
--- a/calicomast/fronts/resp/front.py
+++ b/calicomast/fronts/resp/front.py
@@ -72,6 +72,11 @@
         while self.server.partial and monotonic() < until:
             await asyncio.sleep(LOOK)
 
+    @property
+    def unaccepted(self) -> bool:
+        """Whether a connection waits at its listener."""
+        return self.server.unaccepted
+
     @property
     def owes(self) -> bool:
         """Whether an answer that was given is not written whole."""
--- a/calicomast/fronts/resp/server.py
+++ b/calicomast/fronts/resp/server.py
@@ -7,15 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import math
-import select
 import socket
-import termios
 from collections import deque
 from time import monotonic
 from typing import Any
 
+from calicomast.net import looks
 from calicomast.net.framing import NO_MESSAGE, Framing, FramingError, bulk
 
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
@@ -176,8 +174,7 @@
 
     def unread(self) -> bool:
         """Whether the socket holds bytes that were not read yet."""
-        told = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0\0\0\0")
-        return told != b"\0\0\0\0"
+        return looks.unread(self.transport.get_extra_info("socket"))
 
     def close_when_done(self) -> None:
         """What still comes on it before that is served too: it was taken. So was what lies unread in its
@@ -237,9 +234,7 @@
 
     def hung_up(self) -> bool:
         """Whether the client has ended its sending or the connection, behind what was not read yet."""
-        look = select.poll()
-        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(look.poll(0))
+        return looks.hung_up(self.transport.get_extra_info("socket"))
 
 
 class ClientServer:
@@ -347,6 +342,12 @@
         if self.listener:
             self.listener.close()
 
+    @property
+    def unaccepted(self) -> bool:
+        """Whether a connection waits at the listener."""
+        sockets = self.listener.sockets if self.listener is not None else ()
+        return any(looks.unaccepted(sock) for sock in sockets)
+
     @property
     def owes(self) -> bool:
         """Whether an answer is not written whole."""
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 
 import pytest
@@ -124,6 +125,22 @@
             await node.connect()
 
 
+@on_loop
+async def test_what_the_kernel_took_before_the_listener_closes_is_served(tmp_path, monkeypatch):
+    """A connection that comes with its request in the last turn before the close: nobody has accepted it."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        sleep, came = asyncio.sleep, []
+
+        async def last_turn(seconds, *rest):
+            if seconds != 0.25:
+                return await sleep(seconds, *rest)
+            came.append(socket.create_connection(("127.0.0.1", node.port)))  # no turn of the loop after it
+            came[0].sendall(command())
+
+        monkeypatch.setattr(asyncio, "sleep", last_turn)
+        await node.node.stop(0.25)
+        assert await asyncio.to_thread(came[0].recv, 100) == SERVED
+        came[0].close()
 
 
 @on_loop
