Large hosts are known by their reports; ceilings outlive a forgotten account

Cause of the first part: CONGESTED (5 requests held) and LIMIT_MOST (4 attempts out at a host) stand for hosts of four cores. Settings tell no size. Where reports tell requests held and CPU busy, routing/size.py learns the cores from them, and both limits follow; hosts of four cores and less, full ones, and sites whose reports lack either are decided as before.

Second cause, also of other settings: free_accounts forgot a customer after 30 s, whatever its ceiling's store takes to fill. A new account begins with all that a gateway of its age may have: a ceiling of 20 units that fills at 0.1 a second let 20 pass after 40 s instead of 4. It is kept until the store would be full.

Tests that set the limit of attempts by hand set the size now.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -21,6 +21,7 @@
 from calicomast.routing import subset
 from calicomast.routing.doubt import Doubt
 from calicomast.routing.sites import Sites
+from calicomast.routing.size import Size
 
 TICK = 0.02  # s; coarsest delay of a check on held requests and copies; far under any aim
 ALLOW, CHARGE_AT = 0.5, 0.5  # part of the even room passed uncharged; part of that which is then charged
@@ -101,6 +102,7 @@
         # Ceiling: an even share, no failure can pass it; empty at a start, as the last life's use is unknown.
         self.cap_at, self.cap = now, min(plan.ceiling_burst, (now - born) * plan.ceiling_rate) / self.spread
         self.promised = 0.0  # of it, to requests that wait for it to fill
+        self.fills = plan.ceiling_burst / plan.ceiling_rate if plan.ceiling_rate else 0.0  # s
         # By how much the store of what is sent on is fuller than that of what is granted: reserved units that
         # nobody has come for, as far as it has not filled up meanwhile; below 0 where they came late.
         self.ahead = 0.0
@@ -234,6 +236,7 @@
         self.gone_at = math.inf
         self.rests: dict[str, tuple[int, float]] = {}  # host or class: failures in a row, its next trial
         self.credit, self.credit_at = credit, now  # sends it may get from here while cold
+        self.drawn = credit  # what is less than one of the attempts that may be out there, rounded by chance
         self.ring, self.near = stable_hash(host.id), False  # its place among all; in this gateway's subset
         self.places, self.at = 0, -1  # attempts out at once; where it stands among the free ones
         self.judged: dict[tuple[str, ...], tuple[float, float, float]] = {}  # until when, soundness, cost
@@ -262,14 +265,14 @@
 
 class Fleet:
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self.set, self.rng, self.doubt, self.sites = settings, rng, Doubt(), Sites()
+        self.set, self.rng = settings, rng
+        self.doubt, self.sites, self.size = Doubt(), Sites(), Size(LIMIT_MOST)
         self.servers: dict[str, Server] = {}
         self.up: list[Server] = []
         self.near: list[Server] = []  # those of them that this gateway sends to, unless none of these will do
         self.free: list[Server] = []  # those of the near ones with a place left, in no order
         self.resting: set[Server] = set()
         self.full_until = 0.0  # none may be sent to before, unless an event says otherwise
-        self.limit = max(1.0, LIMIT_MOST / settings.gateways)
         self.mean = {c.name: min(c.aim / 5, c.deadline) for c in settings.classes.values()}
         self.dev, self.seen = dict(self.mean), dict.fromkeys(self.mean, 0)
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
@@ -291,8 +294,7 @@
             old = self.servers.get(host.id)
             if old is None or (host.state == "up" and host.started > old.host.started):
                 # Credit starts anywhere below one send: first sends of many gateways are spread over time.
-                fresh = Server(host, now, self.rng.random(), old.out if old else {})
-                fresh.places, self.servers[host.id] = int(self.limit + fresh.credit), fresh
+                self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {})
             else:
                 old.host, old.up = host, host.state == "up"
             server = self.servers[host.id]
@@ -304,15 +306,16 @@
         """What may be chosen, of what is listed and by the operator's word."""
         up = sorted((s for s in self.servers.values() if s.up), key=lambda s: s.ring)
         self.up = [s for s in up if s.host.zone not in self.sites.left] or up
-        self.gather(now)
-        self.sites.listed([s.host.zone for s in self.up])
+        held = LIMIT_MOST * self.size.scale  # attempts out at a host that are well, over all gateways
         for s in self.servers.values():
-            s.judged = {}
+            s.judged, s.places = {}, int(max(1.0, held / self.set.gateways) + s.drawn)
             s.cross = self.set.prices.get("cross_zone", 0.0) * CROSS_WEIGHT * (s.host.zone != self.set.zone)
+        self.gather(now)
+        self.sites.listed([s.host.zone for s in self.up])
         self.resting = {s for s in self.up if s.rests}
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
         # Gateways with one out at each server overdrive all, so what one has out in all is limited too.
-        self.most = max(OUT_LEAST, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
+        self.most = max(OUT_LEAST, OUT_SLACK * held * len(self.up) / self.set.gateways)
 
     def gather(self, now: float) -> None:
         """Takes the hosts around this gateway's place, as many as its traffic wants."""
@@ -348,6 +351,9 @@
     def mean_held(self) -> float:
         return self.held if self.reports else self.out * self.set.gateways / max(1, len(self.up))
 
+    def clear(self) -> bool:
+        return self.mean_held() < ROOM_CLEAR * LIMIT_MOST * self.size.scale
+
     def own_rate(self, now: float) -> float:
         return self.rate * math.exp((self.rate_at - now) / RATE_SPAN)
 
@@ -477,7 +483,9 @@
                 held = event.report.get("queue", 0.0) + SERVERS_OF_HOST * event.report.get("util", 0.0)
             s.others, s.others_at, s.fresh_until = max(0.0, held - out), now, 0.0
             self.held += (QUICK if self.reports else 1.0) * (held - self.held)
-            self.reports, high = True, held > CONGESTED
+            if self.size.note(event.report):
+                self.settle(now)
+            self.reports, high = True, held > CONGESTED * self.size.scale
         if event.result in ("connect_failed", "full", "error", "reset", "ok"):
             level = keys[:1] if event.result == "connect_failed" else keys
             if event.result == "connect_failed":
@@ -503,8 +511,7 @@
 
 class Levels(tuple):
     """Levels at which a host may fail a kind of requests: wholly, for its class, for its plan. The same
-    object for
-    the same kind, so that it is told by identity: it is a key of each look at a host."""
+    object for the same kind, so that it is told by identity: it is a key of each look at a host."""
 
     __slots__ = ()
     __hash__, __eq__ = object.__hash__, object.__eq__
@@ -693,7 +700,7 @@
         if now - next(iter(self.accounts.values())).seen_at <= IDLE_MOST:  # the usual case
             return
         for oldest in list(itertools.islice(self.accounts.values(), FREED_AT_ONCE)):
-            if now - oldest.seen_at <= max(IDLE_MOST, 3 * oldest.length):
+            if now - oldest.seen_at <= max(IDLE_MOST, 3 * oldest.length, oldest.fills):
                 return
             del self.accounts[oldest.name]
             if oldest.call or oldest.open_here or oldest.waiting:  # a busy one holds up none behind it
@@ -930,8 +937,7 @@
             self.enqueue(now, job) if ok else self.want_slot(now, job, False)
 
     def beyond(self, now: float, job: Job, wait: float) -> None:
-        clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST and not self.queue.live
-        if job.plan.over_worth > job.plan.over_cost and clear:
+        if job.plan.over_worth > job.plan.over_cost and self.fleet.clear() and not self.queue.live:
             job.beyond = True
             self.enqueue(now, job)
         else:
@@ -1072,8 +1078,7 @@
 
     def earn(self) -> None:
         """Each first send allows for a part of a retry."""
-        clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST
-        share = RETRY_SPARE if clear else RETRY_SHARE
+        share = RETRY_SPARE if self.fleet.clear() else RETRY_SHARE
         self.budget = min(max(2.0, RETRY_MOST / self.set.gateways), self.budget + share)
 
     def drain_queue(self, now: float) -> None:
@@ -1188,7 +1193,7 @@
             return
         if self.set.limits.second_copies:
             self.budget -= self.send(now, job)
-        elif self.fleet.mean_held() > ROOM_CLEAR * LIMIT_MOST:
+        elif not self.fleet.clear():
             return  # all are slow: another one would wait as long, and the work done at this host is lost
         elif self.set.limits.cancel and job.sends < self.set.limits.max_attempts and self.choose(now, job):
             self.out.append(api.Cancel(job.req.id, late[0]))  # its outcome starts the next attempt
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -90,6 +90,13 @@
         self.file.close()
 
 
+def roomy(node):
+    """Its hosts may have a hundred attempts out."""
+    fleet = node.node.core.module.fleet
+    fleet.size.scale = 25.0
+    fleet.settle(node.node.clock())
+
+
 class Node:
     """A gateway with a counter and discovery of its own and the given hosts, named h1, h2 and so on."""
 
--- /dev/null
+++ b/tests/routing/test_size.py
@@ -0,0 +1,55 @@
+"""What hosts report of themselves tells how many requests they work on at once."""
+
+import pytest
+from helpers import World, host, of, plan, settings
+
+from calicomast import interface as api
+from calicomast.routing.size import ENOUGH, Size
+
+BIG = plan(rate=0.0)
+
+
+def heard(*reports):
+    size = Size(4.0)
+    for report in reports * ENOUGH:
+        size.note(report)
+    return size.scale
+
+
+@pytest.mark.parametrize("cores", [6, 8, 16, 64])
+def test_hosts_that_hold_as_many_as_they_have_busy_cores_tell_their_size(cores):
+    reports = [{"inflight": part * cores, "util": part} for part in (0.3, 0.6)]
+    assert heard(*reports) == pytest.approx(cores / 4)
+
+
+@pytest.mark.parametrize("report", [
+    {"inflight": 1.0, "util": 0.5}, {"inflight": 400.0, "util": 1.0}, {"inflight": 1.0, "util": 0.01}, {},
+    {"inflight": 9.0}, {"util": 0.5, "queue": 3.0}, {"inflight": 0.0, "util": 0.5}])
+def test_small_full_and_idle_hosts_and_those_that_do_not_tell_leave_it_as_it_is(report):
+    assert heard(report) == 1.0
+
+
+def test_large_hosts_in_usual_work_shed_nothing():
+    """Half of the load of sixteen cores is more than a host of four can hold."""
+    w = World(settings(plans=[BIG], gateways=50), [host(f"h{k}") for k in range(10)])
+    sent = 0
+    for n in range(300):
+        for s in of(w.ask(cls=("read", "write")[n % 2])[1], api.Send):
+            sent += 1
+            w.end(s, report={"inflight": 9.0, "util": 0.56}, elapsed=0.2)
+        w.now += 0.05
+    assert sent == 300
+    for n in range(300):  # what is more than they can do sheds as ever
+        for s in of(w.ask(cls=("read", "write")[n % 2])[1], api.Send):
+            sent += 1
+            w.end(s, report={"inflight": 90.0, "util": 1.0}, elapsed=0.9)
+        w.now += 0.05
+    assert sent < 500
+
+
+def test_few_gateways_have_as_many_out_at_large_hosts_as_these_work_on():
+    w = World(settings(plans=[BIG]), [host("h0")])
+    for _ in range(ENOUGH):
+        for s in of(w.ask()[1], api.Send):
+            w.end(s, report={"inflight": 8.0, "util": 0.5}, elapsed=0.2)
+    assert sum(len(of(w.ask()[1], api.Send)) for _ in range(20)) in (8, 9)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
+from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, roomy, terms
 
 from calicomast import interface as api
 from calicomast.fronts.resp import server as clients
@@ -197,7 +197,7 @@
 async def test_at_the_limit_the_longest_idle_goes_and_with_all_busy_the_newcomer(tmp_path):
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
         node.node.fronts[0].server.most = 2
-        node.node.core.module.fleet.limit = 100.0
+        roomy(node)
         first, _ = await node.connect()
         busy = []
         for n in range(2):
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, terms, write
+from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, roomy, terms, write
 
 from calicomast import interface as api
 from calicomast.net import hosts
@@ -118,7 +118,7 @@
 async def test_the_cap_on_connections_holds(tmp_path):
     async with StubHost(answer=None) as host, Node(host, path=tmp_path) as node:
         node.node.hosts.most = 2
-        node.node.core.module.fleet.limit = 100.0
+        roomy(node)
         asked = [asyncio.create_task(node.ask(command(b"r%d" % n, terms=terms(d="500")))) for n in range(6)]
         await asyncio.gather(*asked)
         assert len(host.writers) <= 2 * 3 and node.node.hosts.open <= 2
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -220,6 +220,27 @@
     assert len(w.gw.accounts) < 70
 
 
+def test_an_idle_account_is_kept_until_its_ceiling_would_be_full_again():
+    """A new one begins with all that a gateway of its age may have: forgotten before, it had more."""
+    slow = plan("slow", rate=0.0, ceiling_rate=0.1, ceiling_burst=20.0)
+    w = World(settings(plans=[slow, plan()], gateways=1), [host(f"h{k}") for k in range(10)])
+    w.now += 1000.0
+
+    def passed(n, **kw):
+        sent = [s for _ in range(n) for s in of(w.ask(plan="slow", customer="big", spread=1)[1], api.Send)]
+        for s in sent:
+            w.end(s)
+        return len(sent)
+
+    assert passed(30) == 20
+    for k in range(40):
+        w.now += 1.0
+        for s in of(w.ask(customer=f"c{k}", spread=1)[1], api.Send):
+            w.end(s)
+    w.now += 0.5
+    assert passed(30) == 4  # what came back in 40.5 s
+
+
 def test_overload_of_servers_sheds_what_is_worth_least_with_many_gateways():
     w = World(settings(plans=[BIG], gateways=50), [host(f"h{k}") for k in range(10)])
     served = {"read": 0, "write": 0}
