A counter's call is waited for as long as the settings give it

Seen in the review of constants: a line to the counter is made anew after 0.5 s without an answer, a figure of a site whose calls have 80 ms. Where calls may take longer, each slow answer cost its line, and the calls behind it.

Change: twice the time of a call where that is longer. Test: with 5 s for a call, one that is 9 s old is still answered, one that is 11 s old ends its line. Without: `assert 'timeout' == 'ok'`.

--- a/calicomast/counting/client.py
+++ b/calicomast/counting/client.py
@@ -15,7 +15,8 @@
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
 CHECK = 0.25  # s between looks for silent and idle connections
-SILENT = 0.5  # s without an answer that was due, after which a connection is held dead and made anew
+SILENT = 0.5  # s without an answer that was due, after which a connection is held dead and made anew; where
+# calls have longer than that, twice their time
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries to connect
 PING = -1  # in place of a name
 MOST_LINE = 4096  # bytes of an answer
@@ -45,8 +46,9 @@
 class Line(asyncio.Protocol):
     """One connection, made again whenever it is lost."""
 
-    def __init__(self, address: Address, up: Callable[[Line], None]) -> None:
+    def __init__(self, address: Address, up: Callable[[Line], None], silent: float) -> None:
         self.address, self.up, self.task = address, up, asyncio.get_running_loop().create_task(self.keep())
+        self.silent = silent
         self.retired = False  # another took its place: it ends with the last answer that it waits for
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered
@@ -130,9 +132,9 @@
 
     def check(self) -> None:
         now = monotonic()
-        if self.calls and now - self.calls[0].started > SILENT:
+        if self.calls and now - self.calls[0].started > self.silent:
             # A machine that vanished says nothing, and its connections stay open for good.
-            log.warning("counter: no answer for %.1f s, connecting again", SILENT)
+            log.warning("counter: no answer for %.1f s, connecting again", self.silent)
             self.abort()
         elif not self.calls and not self.retired and now - self.used > KEEP_ALIVE:
             self.write(Call(PING, None), b"ping\r\n")
@@ -171,7 +173,7 @@
         self.task = asyncio.get_running_loop().create_task(self.checks())
 
     def line(self) -> Line:
-        return Line(self.address, self.came_up)
+        return Line(self.address, self.came_up, max(SILENT, 2 * self.timeout))
 
     def move(self, address: Address) -> None:
         """The counter is elsewhere. Each line is used until the one that replaces it is up."""
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -1,6 +1,7 @@
 """Calls to the counter: late, odd and missing answers."""
 
 import asyncio
+import json
 
 import pytest
 from netkit import SERVED, SETTINGS, Node, StubCounter, StubHost, command, on_loop, terms
@@ -28,6 +29,27 @@
         assert [words[1:] for words in node.counter.calls] == [[b"8", b"1", b"4000"], [b"8", b"2", b"4000"]]
 
 
+@on_loop
+async def test_a_call_is_waited_for_as_long_as_the_settings_give_it(tmp_path):
+    """A line is made anew when it is silent for longer than a call may take, and no sooner."""
+    tree = json.loads(json.dumps(SETTINGS))
+    tree["specifics"]["counter_timeout"] = 5_000_000_000
+    async with StubHost() as host, Node(host, path=tmp_path, settings=tree) as node:
+        counter, results = node.node.counter, asyncio.Queue()
+        while any(line.transport is None for line in counter.lines):
+            await asyncio.sleep(0)
+        node.counter.silent = True
+        for waited, result in ((9.0, "ok"), (11.0, "timeout")):
+            counter.add(8, 1, 4, lambda name, *told: results.put_nowait(told[0]))
+            await node.counter.arrived.get()
+            line = counter.lines[0]
+            line.calls[0].started -= waited  # s ago
+            line.check()
+            if result == "ok":
+                node.counter.answer_all()
+            assert await results.get() == result
+
+
 @on_loop
 async def test_the_counter_is_connected_again_and_unwritten_calls_are_told(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
