--- a/calicomast/model/judge.py
+++ b/calicomast/model/judge.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from calicomast import interface as api
@@ -14,24 +16,38 @@
 
 MARGIN = 0.15  # s by which a ceiling's slack is wider, for what is on its way
 LATE = 0.05  # s that each time limit is longer
+KEPT = 256  # takes that a store remembers, for who sees it late
 
 
 class Store:
     """A bucket that fills at `rate` up to `burst`."""
 
-    __slots__ = ("rate", "burst", "level", "at")
+    __slots__ = ("rate", "burst", "level", "at", "past")
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
         self.rate, self.burst, self.level, self.at = rate, burst, burst, now
+        self.past: deque[tuple[float, float]] = deque(maxlen=KEPT)  # when something was taken, what was left
 
     def fill(self, now: float) -> float:
         self.level, self.at = min(self.burst, self.level + (now - self.at) * self.rate), now
         return self.level
 
+    def take(self) -> None:
+        self.level -= 1
+        self.past.append((self.at, self.level))
+
+    def was(self, at: float) -> float:
+        """What it held then; full before what it remembers."""
+        for taken, left in reversed(self.past):
+            if taken <= at:
+                return min(self.burst, left + (at - taken) * self.rate)
+        return self.burst
+
 
 class Judge:
-    def __init__(self, clock: Clock, figures: Figures, rules: api.Rules) -> None:
-        self.clock, self.figures, self.rules = clock, figures, rules
+    def __init__(self, clock: Clock, figures: Figures, rules: api.Rules,
+                 plans: Mapping[str, api.Plan]) -> None:
+        self.clock, self.figures, self.rules, self.plans = clock, figures, rules, plans
         self.quotas: dict[str, Store] = {}
         self.ceilings: dict[str, Store] = {}
 
@@ -55,10 +71,11 @@
         if plan.rate:
             quota = self.quotas.setdefault(customer.name, Store(plan.rate, plan.burst, now))
             if quota.fill(now) >= 1:
-                quota.level -= 1
+                quota.take()
             else:
                 inside = False
                 self.figures.add("units beyond")
+                self.figures.spend(cls.worth * plan.price * plan.over_cost)
         if plan.ceiling_rate:
             ceiling = self.ceilings.setdefault(
                 customer.name, Store(plan.ceiling_rate, plan.ceiling_burst, now))
@@ -68,6 +85,11 @@
                 self.figures.broken(f"ceiling: {customer.name}, {-ceiling.level:.2f} units beyond")
         return inside
 
+    def room(self, customer: str, plan: str, age: float) -> bool:
+        """Whether its quota had room for one, `age` seconds ago."""
+        quota = self.quotas.get(customer)
+        return not self.plans[plan].rate or quota is None or quota.was(self.clock.now - age) >= 1
+
     def fell(self, host: str, knew: float) -> None:
         """`knew`: part of what it got from gateways that had been told of its start."""
         self.figures.add("fell")
--- a/calicomast/model/world.py
+++ b/calicomast/model/world.py
@@ -43,7 +43,8 @@
         self.born, self.ending = 0, False
         self.times = 1.0  # of the usual load
         self.late = 0.0  # s on top of what the list takes
-        self.judge = Judge(self.clock, self.figures, scenario.rules)
+        plans = {plan.name: plan for plan in scenario.customers.plans}
+        self.judge = Judge(self.clock, self.figures, scenario.rules, plans)
         self.open: dict[str, Ask] = {}  # tries without an answer
         spec = scenario.machines
         for n in range(spec.count):
@@ -115,6 +116,7 @@
         if self.figures.on:
             self.figures.add("firsts")
             self.figures.add("inside" if room else "beyond")
+            self.figures.worth += room * ask.work.cls.worth * ask.customer.plan.price
             self.figures.seconds[int(ask.born - START)]["inside"] += room
         self.attempt(ask, self.figures.on)
 
@@ -148,6 +150,7 @@
         count = self.figures.counts
         if counted and answer == "refused":
             count["refused tries"] += 1
+            count["refused with room"] += self.judge.room(ask.customer.name, ask.customer.plan.name, 0.0)
             second = self.figures.seconds[int(self.clock.now - START)]
             second["refused"] += 1
         again = answer in ("refused", "lost") or (answer == "failed" and ask.work.cls.effect == "safe")
--- a/tests/model/test_model.py
+++ b/tests/model/test_model.py
@@ -9,6 +9,7 @@
 from calicomast.model import baselines
 from calicomast.model.clock import START
 from calicomast.model.faults import KINDS
+from calicomast.model.judge import Store
 from calicomast.model.links import Place
 from calicomast.model.scenario import (
     FREE,
@@ -155,3 +156,22 @@
     world.counter.silent = True
     world.clock.run(START + 1)
     assert len(told) == 11 and world.counter.totals[4][0] == 20.0
+
+
+def test_a_store_tells_what_it_held_before():
+    store = Store(1.0, 3.0, 0.0)
+    for at in (10.0, 10.5, 11.0):
+        store.fill(at)
+        store.take()
+    assert [store.was(at) for at in (9.0, 10.0, 10.25, 10.5, 11.0, 11.5, 60.0)] == pytest.approx(
+        [3.0, 2.0, 2.25, 1.5, 1.0, 1.5, 3.0])
+
+
+def test_the_later_a_policy_sees_the_true_state_the_more_passes_beyond_quotas():
+    customers = Customers(plans=(replace(FREE, rate=0.8, burst=3.0, over_cost=0.5),), heavy=0.3)
+    base = replace(SMALL, load=0.4, customers=customers)
+    told = {way: play(replace(base, policy=way))[1] for way in ("two", "quota:0", "quota:0.5", "quota:2")}
+    beyond = [told[way]["over_quota"] for way in ("quota:0", "quota:0.5", "quota:2", "two")]
+    assert beyond == sorted(beyond) and beyond[0] < 0.03 < 0.2 < beyond[-1]
+    assert [told[way]["quota_cost"] > 0 for way in ("quota:0", "two")] == [beyond[0] > 0, True]
+    assert told["quota:0"]["with_room"] < 0.05 < told["quota:2"]["with_room"] and told["two"]["served"] > 0.9
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -258,6 +258,37 @@
         assert not (node.node.core.works or server.unread or server.stuck) and len(host.commands) == 1
 
 
+class BusyDoor:
+    """The loop has always read for long enough in this turn; what waits is gone on with by the test."""
+
+    over, lag = True, 0.0
+
+    def __init__(self):
+        self.waiting, self.came = [], asyncio.Event()
+
+    def clock(self):
+        self.came.set()
+        return 0.0
+
+
+@on_loop
+async def test_a_client_that_leaves_while_its_commands_wait_their_turn_has_left(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        server = node.node.fronts[0].server
+        server.door = door = BusyDoor()
+        _, writer = await node.connect()
+        writer.write(command(b"gone"))
+        await door.came.wait()
+        (waits,) = door.waiting
+        writer.close()
+        while server.clients:
+            await asyncio.sleep(0.01)
+        waits()  # its turn comes
+        server.door = None
+        assert await node.ask(command(b"next")) == SERVED
+        assert [c[2] for c in host.commands] == [b"next"]
+
+
 @on_loop
 async def test_a_client_that_ends_its_sending_and_takes_no_answers_has_left(tmp_path):
     async with StubHost(b"*3\r\n$60000\r\n%s\r\n$-1\r\n$-1\r\n" % (b"v" * 60000)) as host:
