A listener that a reload removes is closed when the reload says so

Seen: the suite's second whole run failed on `DID NOT RAISE ConnectionRefusedError`, two of three runs of the file again: since the close came a turn of the loop after the reload had told that it took effect.

Change: it closes at once where no connection waits to be accepted, else once that is accepted.

--- a/calicomast/daemon/node.py
+++ b/calicomast/daemon/node.py
@@ -248,11 +248,16 @@
         for front in leaving:
             if limits is not None:
                 limits.left(front)
-            self.ending(self.left(front))
-
-    async def left(self, front: RespFront | GrpcFront) -> None:
-        """A front whose listener goes: what it took is answered, then its connections end."""
-        await self.finish([front])
+            waited = front.unaccepted
+            if not waited:  # at once: who hears that the reload took effect finds the address closed
+                front.finish()
+            self.ending(self.left(front, waited))
+
+    async def left(self, front: RespFront | GrpcFront, waited: bool) -> None:
+        """A front whose listener goes: what it took is answered, then its connections end. `waited`: a
+        connection was still to be accepted, and its listener is not closed yet."""
+        if waited:
+            await self.finish([front])
         await front.drained()
         front.close()
 
