Lease fractions of a unit to requests of fractions, and end the recursion over them

Callers saw requests with units=0.3 fail, and everybody on that gateway stood still for about 0.2 s each time.

Cause: leases were rounded down to whole units, requests were not. With 0.7 units left and 0.3 waiting, the call would have added int(0.7) = 0 units, so the waiting request was decided anew, found room, waited again, and so on until RecursionError.

Change: a lease for a fraction is not rounded, nor is what the counter denies of it. Where a call would add nothing, the waiting requests are decided without the counter: then none waits again and the two functions cannot call each other a second time. Whole units are leased as before.

Looked for elsewhere: the call graph of policy/ and routing/ has one more cycle, acquire_slot and _on_slot_counted, which passes through an event and asks the counter once. All other roundings count hosts, windows or steps, or round once towards fewer units.

--- a/apigateway/policy/quota_leasing.py
+++ b/apigateway/policy/quota_leasing.py
@@ -92,14 +92,22 @@
     ]
 
 
+def _needs_fractions(waiting: list[PendingRequest]) -> bool:
+    return any(not float(pending.request.units).is_integer() for pending in waiting)
+
+
 def _renew_lease(state: GatewayState, quota: CustomerQuota, requests_represented: float = 1.0) -> None:
     """Report used units and ask for more if that is due.
 
+    If a call would add nothing, the waiting requests are decided without one. `_decide_waiting` then leaves
+    no request waiting and does not call this function again, so the two do not recurse further.
+
     `requests_represented`: the number of requests that each waiting request represents.
     """
     if quota.has_call_in_flight or not state.counter.is_usable(state.now):
         return
-    needed = sum(pending.request.units for pending in _waiting_requests(state, quota))
+    waiting = _waiting_requests(state, quota)
+    needed = sum(pending.request.units for pending in waiting)
     size = quota.lease_size(state.counter.price + CONGESTION_CALL_COST * state.counter.congestion**2)
     remaining = quota.remaining(state.now)
     has_plenty = remaining > size * quota.gateway_count and state.now >= quota.exhausted_until
@@ -110,9 +118,11 @@
     if not (needed or is_due or (quota.reported_units and is_low)):
         return
     wanted = max(needed, size) - quota.leased_units if needed else size * is_low
-    requested = max(0, int(min(math.ceil(wanted), max(remaining, 0.0))))
+    requested = max(0.0, min(math.ceil(wanted), remaining))
+    if not _needs_fractions(waiting):
+        requested = float(int(requested))  # whole requests cannot use a fraction of a unit
     if requested + quota.unreported_units <= 0:
-        _decide_waiting(state, quota)
+        _decide_waiting(state, quota, may_call_counter=False)
         return
     entry = quota.begin_call(requested, needed * (requests_represented - 1))
     _add_to_count(state, quota, entry, partial(_on_counted, state, quota, entry))
@@ -157,7 +167,10 @@
         missing += quota.drop_surplus(total + missing - entry.requested, limit)
     waiting = _waiting_requests(state, quota)
     headroom = min((pending.headroom_units for pending in waiting), default=0.0)
-    denied = min(entry.requested, max(0.0, math.ceil(total + missing + headroom - limit)))
+    excess = max(0.0, total + missing + headroom - limit)
+    if float(entry.requested).is_integer():
+        excess = math.ceil(excess)  # whole requests cannot use a fraction of a unit
+    denied = min(entry.requested, excess)
     quota.on_granted(total, entry, missing, denied)
     needed = sum(pending.request.units for pending in waiting)
     if needed:
@@ -170,18 +183,23 @@
         correct_count(state, quota, missing)
 
 
-def _decide_waiting(state: GatewayState, quota: CustomerQuota) -> None:
-    """Decide on the requests that wait for a customer's units, highest priority per unit first."""
+def _decide_waiting(state: GatewayState, quota: CustomerQuota, may_call_counter: bool = True) -> None:
+    """Decide on the requests that wait for a customer's units, highest priority per unit first.
+
+    Without `may_call_counter` none of them waits again.
+    """
+    may_call_counter = may_call_counter and state.counter.consecutive_failures == 0
     waiting = _waiting_requests(state, quota)
     quota.waiting_request_ids = []
     for pending in sorted(waiting, key=lambda pending: -pending.priority / max(pending.request.units, 1e-9)):
         remaining = quota.remaining(state.now)
-        if remaining + quota.leased_units < pending.request.units:
-            quota.exhausted_until = state.now + max(0.0, 1 - remaining) / quota.rate
+        units = pending.request.units
+        if remaining + quota.leased_units < units:
+            quota.exhausted_until = state.now + max(0.0, min(1.0, units) - remaining) / quota.rate
             # The congested counter is needed for other customers: make no call until the next window.
             if state.counter.congestion > RATIONING_CONGESTION:
                 quota.exhausted_until = quota.window_end
-        _decide(state, pending, state.counter.consecutive_failures == 0)
+        _decide(state, pending, may_call_counter)
     if quota.waiting_request_ids:
         _renew_lease(state, quota)
 
--- a/tests/policy/test_quota_leasing.py
+++ b/tests/policy/test_quota_leasing.py
@@ -1,3 +1,4 @@
+import pytest
 from helpers import DecisionHarness, actions_of, make_host, make_plan, make_settings
 
 from apigateway import messages
@@ -562,3 +563,31 @@
         limits = [quota.window_limit(time) for time in times]
         assert limits == sorted(limits) and limits[0] <= max(0.5 * burst, min(burst, 1.0))
         assert limits[-1] <= 1.1 * burst + 1e-9
+
+
+# Guards against requests of fractions of a unit that made the module recurse without end.
+@pytest.mark.parametrize("units", [0.1, 0.3, 0.7, 1.5])
+@pytest.mark.parametrize("counter_mode", ["answer", "hold", "refuse"])
+@pytest.mark.parametrize("gateway_count", [1, 2])
+def test_requests_of_fractional_units_when_little_is_left_are_decided_without_recursion(
+    units, counter_mode, gateway_count
+):
+    for seed in range(4):
+        harness = DecisionHarness(make_settings(gateway_count=gateway_count), seed=seed)
+        harness.counter_mode = counter_mode
+        for number in range(200):
+            harness.advance(0.002, step=0.002)
+            _, actions = harness.send_request(
+                customer=f"c{number % 3}", units=units, spread=gateway_count, service_class="write"
+            )
+            for forward in actions_of(actions, messages.ForwardRequest):
+                harness.end_attempt(forward)
+
+
+def test_a_lease_of_the_last_fraction_of_a_unit_is_requested_and_granted():
+    harness = DecisionHarness(make_settings(plans=[make_plan(rate=0.01, burst=1.0)], gateway_count=1))
+    admitted_units = 0.0
+    for _ in range(20):
+        _, actions = harness.send_request(units=0.3, spread=1, service_class="write")
+        admitted_units += 0.3 * len(actions_of(actions, messages.ForwardRequest))
+    assert 0.9 <= admitted_units + 1e-9 <= 1.0
