A customer's quota follows the plan that its request names

Cause: a quota kept rate, burst and ceiling of its customer's first plan until it was dropped. That is also the known gap that a plan told later is ignored.

Change: LeaseLedger.change_limits and TokenBucketShare.change_limits go on with another rate and burst. What is spent and not refilled stays spent, leases stay, a call in flight belongs to the earlier limits. A plan without a rate or a ceiling leaves these limits as they are and is not held to them. ReturnUnits names the plan of the check, so that a check of a plan without limits gives nothing back to another plan; test_quota_checks expects the name now. The shared slots of a concurrency limit and the share of granted units go by the request's own plan.

--- a/apigateway/core/request_lifecycle.py
+++ b/apigateway/core/request_lifecycle.py
@@ -147,7 +147,9 @@
         """Return units that a check was granted, because another check of the same call was denied."""
         is_reservation = isinstance(check, messages.QuotaReservation)
         event_class = messages.ReturnReservation if is_reservation else messages.ReturnUnits
-        self.events.dispatch(event_class(check.customer, check.units, granted.window_index))
+        # A custom limit has a customer of its own, and no plan of this name.
+        plan = "" if isinstance(check, messages.CustomLimitCheck) else check.plan
+        self.events.dispatch(event_class(check.customer, check.units, granted.window_index, plan))
 
     def is_in_flight(self, request_id: str, is_write: bool) -> bool:
         """Return whether a request with this id may be running.
--- a/apigateway/messages.py
+++ b/apigateway/messages.py
@@ -423,6 +423,7 @@
     customer: str
     units: float
     window_index: int  # of the QuotaGranted
+    plan: str = ""  # whose limits the check used; empty: those of the customer's latest request
 
 
 @dataclass(frozen=True, slots=True)
--- a/apigateway/policy/ceiling.py
+++ b/apigateway/policy/ceiling.py
@@ -13,11 +13,20 @@
 
 def wait_time(state: GatewayState, pending: PendingRequest) -> float:
     """Return the seconds until the ceiling has tokens for the request; inf: never."""
+    if not pending.plan.ceiling_rate:
+        return 0.0
     ceiling = pending.quota.ceiling
     refill_until = min(state.now, state.draining_since)
     return ceiling.wait_time(refill_until, pending.request.units, pending.request.is_prepaid)
 
 
+def charge(pending: PendingRequest) -> None:
+    """Take or reserve a request's tokens, if its plan has a ceiling."""
+    request = pending.request
+    if pending.plan.ceiling_rate:
+        pending.quota.ceiling.charge(request.units, request.is_prepaid, request.is_reservation)
+
+
 def max_wait(state: GatewayState, pending: PendingRequest) -> float:
     """Return the seconds that a request may wait for tokens.
 
--- a/apigateway/policy/concurrency_limit.py
+++ b/apigateway/policy/concurrency_limit.py
@@ -54,7 +54,7 @@
 def _on_slot_counted(state: GatewayState, pending: PendingRequest, epoch: int, event: CounterResult) -> None:
     quota = pending.quota
     is_counted = event.result == CounterCallResult.OK
-    is_full = is_counted and event.total > quota.plan.concurrency_limit % quota.gateway_count
+    is_full = is_counted and event.total > pending.plan.concurrency_limit % quota.gateway_count
     if is_counted and (pending.done or is_full):
         state.add_to_slot_count(quota.customer, epoch, -1)
     if is_full and not pending.done:
--- a/apigateway/policy/customer_quota.py
+++ b/apigateway/policy/customer_quota.py
@@ -37,18 +37,39 @@
         phase = stable_hash(request.customer, "phase") % WINDOW_PHASES / WINDOW_PHASES
         super().__init__(plan.rate, plan.burst, request.gateway_spread, phase, now, rng.random)
         self.customer = request.customer
-        self.plan = plan
+        self.plan = plan  # of the latest request
         self.last_request_at = now
         # False after a recent eviction: the counter is then asked first how many units have been used.
         self.is_usage_known = True
         self.waiting_request_ids: list[str] = []  # requests that wait for units
         self.local_slots_used = 0
-        # With an equal share per gateway, no failure exceeds the ceiling. The share starts empty because the
-        # use by the previous process is not known.
+        self.ceiling = self._new_ceiling(plan, gateway_started_at, now)
+
+    def _new_ceiling(self, plan: Plan, gateway_started_at: float, now: float) -> TokenBucketShare:
+        """Return this gateway's share of a ceiling that no request of the customer has used here.
+
+        With an equal share per gateway, no failure exceeds the ceiling. The share starts empty because the
+        use by the previous process is not known.
+        """
         tokens = min(plan.ceiling_burst, (now - gateway_started_at) * plan.ceiling_rate) / self.gateway_count
-        self.ceiling = TokenBucketShare(
-            plan.ceiling_rate, plan.ceiling_burst, self.gateway_count, tokens, now
-        )
+        return TokenBucketShare(plan.ceiling_rate, plan.ceiling_burst, self.gateway_count, tokens, now)
+
+    def follow_plan(self, plan: Plan, gateway_started_at: float, now: float) -> None:
+        """Apply the limits of the plan that the customer's latest request names.
+
+        What was spent stays spent. A plan without a rate or a ceiling does not use these limits and leaves
+        them as they are, so that a customer cannot refill them by a request of such a plan.
+        """
+        self.plan = plan
+        if plan.rate and (plan.rate, plan.burst) != (self.rate, self.burst):
+            self.change_limits(plan.rate, plan.burst, now)
+        ceiling = self.ceiling
+        if not plan.ceiling_rate or (plan.ceiling_rate, plan.ceiling_burst) == (ceiling.rate, ceiling.burst):
+            return
+        if ceiling.rate:
+            ceiling.change_limits(plan.ceiling_rate, plan.ceiling_burst, now)
+        else:
+            self.ceiling = self._new_ceiling(plan, gateway_started_at, now)
 
     @property
     def is_in_use(self) -> bool:
--- a/apigateway/policy/customers.py
+++ b/apigateway/policy/customers.py
@@ -28,8 +28,11 @@
         refill_until = min(state.now, state.draining_since)
         quota = CustomerQuota(request, plan, state.started_at, refill_until, state.rng)
         quota.is_usage_known = not state.evicted_customers.may_contain(state.now, request.customer)
-    elif request.gateway_spread > quota.gateway_count:
-        quota.increase_gateway_count(request.gateway_spread)
+    else:
+        if request.gateway_spread > quota.gateway_count:
+            quota.increase_gateway_count(request.gateway_spread)
+        if plan is not quota.plan:
+            quota.follow_plan(plan, state.started_at, state.now)
     _mark_recently_used(state, quota)
     if state.now - next(iter(state.quotas.values())).last_request_at > MIN_IDLE_S:
         _drop_idle(state)
--- a/apigateway/policy/dispatch.py
+++ b/apigateway/policy/dispatch.py
@@ -36,7 +36,7 @@
         # At least TICK_S: a check that is due at once would be repeated for ever.
         state.schedule_check(state.now + max(TICK_S, wait), pending)
     else:
-        pending.quota.ceiling.charge(request.units, request.is_prepaid, request.is_reservation)
+        ceiling.charge(pending)
         if request.is_check:
             state.grant(pending)
         elif (
--- a/apigateway/policy/quota_leasing.py
+++ b/apigateway/policy/quota_leasing.py
@@ -130,7 +130,7 @@
 
 def correct_count(state: GatewayState, quota: CustomerQuota, units: float) -> None:
     """Add missing units to the shared count, or subtract surplus units if `units` is negative."""
-    entry = LedgerEntry(quota.window_index, correction=units)
+    entry = quota.new_entry(units)
     _add_to_count(state, quota, entry, partial(_on_correction_counted, quota, entry))
 
 
@@ -145,7 +145,7 @@
     quota.has_call_in_flight = False
     quota.is_usage_known = True
     quota.advance_window(state.now)
-    if entry.window == quota.window_index:
+    if quota.is_current(entry):
         if event.result == CounterCallResult.OK:
             _apply_total(state, quota, event.total, entry)
         else:
@@ -154,7 +154,7 @@
 
 
 def _on_correction_counted(quota: CustomerQuota, entry: LedgerEntry, event: CounterResult) -> None:
-    if entry.window == quota.window_index and not event.was_added:
+    if quota.is_current(entry) and not event.was_added:
         quota.reported_units -= entry.amount  # units that were never added must not count as lost later
         quota.unconfirmed_units += entry.amount * (event.result == CounterCallResult.TIMEOUT)
 
@@ -174,7 +174,7 @@
     quota.on_granted(total, entry, missing, denied)
     needed = sum(pending.request.units for pending in waiting)
     if needed:
-        grant_share = state.grant_shares[quota.plan.name, waiting[0].request.is_retry]
+        grant_share = state.grant_shares[waiting[0].plan.name, waiting[0].request.is_retry]
         grant_share.observe(needed, min(needed, quota.leased_units))
     # Without this correction the denied units stay counted.
     if state.rng.random() < state.counter.call_probability(SECONDARY_CALL_BENEFIT):
@@ -209,6 +209,9 @@
     quota = state.quotas.get(event.customer)
     if quota is None:  # it was dropped, when its ceiling was full
         return
-    quota.advance_window(state.now)
-    quota.refund(event.units, event.window_index)
-    quota.ceiling.refund(event.units, event.is_reservation)
+    plan = state.settings.plans.get(event.plan)
+    if plan is None or plan.rate:
+        quota.advance_window(state.now)
+        quota.refund(event.units, event.window_index)
+    if plan is None or plan.ceiling_rate:
+        quota.ceiling.refund(event.units, event.is_reservation)
--- a/apigateway/policy/state.py
+++ b/apigateway/policy/state.py
@@ -86,10 +86,16 @@
         """Add to the shared count of a customer's concurrency slots."""
         self.add_to_counter(stable_hash("open", customer, epoch), change, 2 * SLOT_EPOCH_S, on_result)
 
+    def _remaining_and_reset(self, pending: PendingRequest) -> tuple[float, float]:
+        """Return the units left of the request's quota, and the seconds until its window ends."""
+        if not pending.plan.rate:
+            return math.inf, 0.0
+        return pending.quota.remaining_and_reset(self.now, pending.headroom_units)
+
     def grant(self, pending: PendingRequest) -> None:
         """Answer that a check's units are granted."""
         request_id = pending.request.request_id
-        unspent = pending.quota.remaining_and_reset(self.now, pending.headroom_units)
+        unspent = self._remaining_and_reset(pending)
         self.actions.append(messages.QuotaGranted(request_id, *unspent, pending.quota.window_index))
         self.finish(pending)
 
@@ -101,7 +107,7 @@
             limits = (
                 is_over_limit,
                 retry_after,
-                *pending.quota.remaining_and_reset(self.now, pending.headroom_units),
+                *self._remaining_and_reset(pending),
             )
             self.actions.append(messages.QuotaDenied(request_id, *limits))
         elif pending.service_class.is_repeatable or not (pending.possibly_executed or pending.in_flight):
--- a/apigateway/routing/lease_ledger.py
+++ b/apigateway/routing/lease_ledger.py
@@ -27,6 +27,7 @@
     requested: float = 0.0  # units to lease
     correction: float = 0.0  # units that correct the count
     claimed: float = 0.0  # units added by earlier calls whose answers were unusable, claimed by this call
+    limits_version: int = 0  # of the ledger when the call began
 
     @property
     def amount(self) -> float:
@@ -47,6 +48,7 @@
     """
 
     __slots__ = (  # there is one ledger for each customer
+        "_phase",
         "_random",
         "burst",
         "carried_units",
@@ -57,6 +59,7 @@
         "has_call_in_flight",
         "has_subunit_share",
         "leased_units",
+        "limits_version",
         "local_share",
         "previous_used_units",
         "rate",
@@ -82,18 +85,23 @@
         now: float,
         random: Callable[[], float],
     ) -> None:
-        self.rate = rate
-        self.burst = burst
         self._random = random
+        self._phase = phase
+        self.limits_version = 0  # number of changes of rate and burst
+        self._set_limits(rate, burst)
         self.set_gateway_count(gateway_count)
         self.local_share = 1.0 / gateway_count  # of the units used by all gateways, the share used here
         self.demand = DemandEstimator(now)
         self.has_call_in_flight = False  # a call that reports or leases units
         self.used_units = 0.0  # by this gateway in this window
-        self.window_length = burst / rate if rate else 1.0  # s
-        self.window_offset = phase * self.window_length
         self._open_window(self._window_index_at(now), 0.0)
 
+    def _set_limits(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.window_length = burst / rate if rate else 1.0  # s
+        self.window_offset = self._phase * self.window_length
+
     def set_gateway_count(self, gateway_count: int) -> None:
         """Set the number of gateways that share the quota."""
         self.gateway_count = gateway_count
@@ -141,6 +149,29 @@
             self.used_units = 0.0  # they were used before the previous window
         self._open_window(index, debt)
 
+    def change_limits(self, rate: float, burst: float, now: float) -> None:
+        """Continue with another rate and burst, in the window that is open under them.
+
+        Units that were spent and are not refilled yet stay spent, and leases are kept. A call in flight
+        belongs to the earlier window.
+        """
+        spent = 0.0
+        leased = 0.0
+        unreported = 0.0
+        if self.rate:
+            self.advance_window(now)
+            spent = max(0.0, self.total_units - self.rate * (now - self.window_start))
+            leased = self.leased_units
+            unreported = self.unreported_units
+        self.limits_version += 1
+        self._set_limits(rate, burst)
+        self.set_gateway_count(self.gateway_count)
+        index = self._window_index_at(now)
+        refilled = rate * (now - index * self.window_length - self.window_offset)
+        self._open_window(index, spent + refilled if spent else 0.0)
+        self.leased_units = leased
+        self.unreported_units = unreported
+
     def window_limit(self, now: float) -> float:
         """Return the units that all gateways together may have used by now."""
         return self.burst + self.rate * (now - self.window_start)
@@ -176,6 +207,14 @@
             self.leased_units += units
             self.used_units -= units
 
+    def new_entry(self, correction: float) -> LedgerEntry:
+        """Return the entry of a call that only corrects the count of the current window."""
+        return LedgerEntry(self.window_index, correction=correction, limits_version=self.limits_version)
+
+    def is_current(self, entry: LedgerEntry) -> bool:
+        """Return whether an entry belongs to the current window, under the current limits."""
+        return entry.window == self.window_index and entry.limits_version == self.limits_version
+
     def begin_call(self, requested: float, correction: float) -> LedgerEntry:
         """Begin a call that reports all unreported units and requests a lease.
 
@@ -190,7 +229,12 @@
         """
         self.has_call_in_flight = True
         entry = LedgerEntry(
-            self.window_index, self.unreported_units, requested, correction, self.unclaimed_units
+            self.window_index,
+            self.unreported_units,
+            requested,
+            correction,
+            self.unclaimed_units,
+            self.limits_version,
         )
         self.total_units += self.unreported_units
         self.unreported_units = 0.0
--- a/apigateway/routing/token_bucket.py
+++ b/apigateway/routing/token_bucket.py
@@ -40,6 +40,14 @@
         self.tokens = min(self.tokens, self.capacity)
         self.reserved = min(self.reserved, self.capacity - self.tokens)
 
+    def change_limits(self, rate: float, burst: float, now: float) -> None:
+        """Continue with another rate and burst; units that are used and not refilled yet stay used."""
+        self.available(now)
+        used_units = self.capacity - self.tokens
+        self.rate = rate
+        self.burst = burst
+        self.tokens = self.capacity - used_units
+
     def available(self, now: float, from_reserved: bool = False) -> float:
         """Return the units that may be taken now; `from_reserved`: by a request that has reserved units."""
         if not self.rate:
--- a/tests/core/test_quota_checks.py
+++ b/tests/core/test_quota_checks.py
@@ -59,9 +59,9 @@
         messages.QuotaCheck("a", 3.0, "c", "p", "read", 2.0, 0, 1),
         messages.QuotaGranted("a", 0.0, 1.0, 7),
     )
-    assert harness.module.events[-1] == messages.ReturnUnits("c", 2.0, 7)
+    assert harness.module.events[-1] == messages.ReturnUnits("c", 2.0, 7, "p")
     harness.core.return_quota(
         messages.QuotaReservation("b", 1.0, "c", "p", "read", 2.0, 0, 1),
         messages.QuotaGranted("b", 0.0, 1.0, 7),
     )
-    assert harness.module.events[-1] == messages.ReturnReservation("c", 2.0, 7)
+    assert harness.module.events[-1] == messages.ReturnReservation("c", 2.0, 7, "p")
