Log an error of the decision module with its stack once, then count it

Callers saw all requests of a gateway wait while one customer's failed.

Errors that come again are counted, in at most one line a second, with the event's type and the customer.

--- a/apigateway/core/in_flight_table.py
+++ b/apigateway/core/in_flight_table.py
@@ -51,6 +51,11 @@
         registry = self._context.in_flight_registry
         return is_write and registry is not None and registry.is_held(request_id)
 
+    def customer_of(self, event: messages.Event) -> str:
+        """Return the customer of an event or of the request that it names; empty if there is none."""
+        in_flight = self.requests.get(getattr(event, "request_id", ""))
+        return in_flight.customer if in_flight is not None else getattr(event, "customer", "")
+
     def reserve(self, frontend: object, request: messages.Request) -> int | None:
         """Check the capacity for a request, and register the request if it is a write.
 
--- a/apigateway/core/request_lifecycle.py
+++ b/apigateway/core/request_lifecycle.py
@@ -77,7 +77,9 @@
         self.response_actions = ResponseActions(self, self.in_flight_table, self.responses)
         self.gateway_actions = GatewayActions(self, self.events)
         self.endpoint_updates = EndpointUpdates(self, self.events)
-        self.events.register(self._action_handlers(), self.responses.abort_request_of)
+        self.events.register(
+            self._action_handlers(), self.responses.abort_request_of, self.in_flight_table.customer_of
+        )
 
     def _action_handlers(self) -> Mapping[type, ActionHandler]:
         return {
--- a/tests/core/test_event_dispatcher.py
+++ b/tests/core/test_event_dispatcher.py
@@ -43,3 +43,33 @@
     ]
     harness.core.on_client_disconnected(other_sink)
     assert not harness.core.in_flight
+
+
+# Guards against a module error that repeats and costs the event loop a stack trace each time.
+def test_module_when_it_raises_again_and_again_then_the_stack_is_logged_once_and_repeats_are_counted(caplog):
+    harness = DispatcherHarness()
+    for number in range(50):
+        harness.submit(f"r{number}", ZeroDivisionError("broken"))
+    assert sum("Traceback" in record.getMessage() for record in caplog.records) == 1
+    assert len(caplog.records) == 1
+    assert "Request" in caplog.text and "customer c" in caplog.text
+    harness.loop.fire_timers()
+    assert [record.getMessage()[:14] for record in caplog.records[1:]] == ["49 more errors"]
+    harness.submit("other", KeyError("another error"))
+    assert sum("Traceback" in record.getMessage() for record in caplog.records) == 2
+
+
+def test_module_when_it_recurses_without_end_then_few_lines_are_logged(caplog):
+    harness = DispatcherHarness()
+
+    def first(depth):
+        return second(depth + 1)
+
+    def second(depth):
+        return first(depth + 1)
+
+    try:
+        first(0)
+    except RecursionError as error:
+        harness.submit("a", error)
+    assert 5 < len(caplog.text.splitlines()) < 200
