Return the units of a check to a quota only if the check took them from it

Callers could get more than their quota by the rate limit service: a check that was granted beyond the quota, or on the odds while the counter could not be asked, takes no units, but if another descriptor of its call was denied its units were returned and became a lease.

Cause: ReturnUnits names the check's window only.

Change: QuotaGranted.window_index is None if no units were taken, which never equals the quota's window.

The new test in test_checks.py needs the None and fails without it.

--- a/apigateway/messages.py
+++ b/apigateway/messages.py
@@ -422,7 +422,7 @@
 
     customer: str
     units: float
-    window_index: int  # of the QuotaGranted
+    window_index: int | None  # of the QuotaGranted
     plan: str = ""  # whose limits the check used; empty: those of the customer's latest request
 
 
@@ -594,7 +594,9 @@
     # Units of the customer's quota that are left in this window, as this gateway knows it; inf: no quota.
     remaining: float
     reset_after: float  # s until the next window; 0: no quota
-    window_index: int  # for ReturnUnits
+    # For ReturnUnits. None: no units of the quota were spent, because the plan has no rate or the check was
+    # granted beyond it, or on odds while the counter could not be asked.
+    window_index: int | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/apigateway/policy/quota_leasing.py
+++ b/apigateway/policy/quota_leasing.py
@@ -83,6 +83,7 @@
         if quota.remaining(state.now) < units or allowance < units * (1 - quota.rounding_draw):
             return False
     quota.take(units, is_leased)
+    pending.has_taken_units = True
     return True
 
 
--- a/apigateway/policy/state.py
+++ b/apigateway/policy/state.py
@@ -96,7 +96,8 @@
         """Answer that a check's units are granted."""
         request_id = pending.request.request_id
         unspent = self._remaining_and_reset(pending)
-        self.actions.append(messages.QuotaGranted(request_id, *unspent, pending.quota.window_index))
+        window_index = pending.quota.window_index if pending.has_taken_units else None
+        self.actions.append(messages.QuotaGranted(request_id, *unspent, window_index))
         self.finish(pending)
 
     def reject(self, pending: PendingRequest, wait: float = 0.0, is_over_limit: bool = False) -> None:
--- a/apigateway/routing/lease_ledger.py
+++ b/apigateway/routing/lease_ledger.py
@@ -201,8 +201,11 @@
             self.unreported_units += units
         self.used_units += units
 
-    def refund(self, units: float, window: int) -> None:
-        """Return unused units to the lease, if the window in which they were taken is still open."""
+    def refund(self, units: float, window: int | None) -> None:
+        """Return unused units to the lease, if the window in which they were taken is still open.
+
+        `window` is None if the units were not taken from this quota.
+        """
         if self.rate and self.window_index == window:
             self.leased_units += units
             self.used_units -= units
--- a/tests/policy/test_checks.py
+++ b/tests/policy/test_checks.py
@@ -251,3 +251,17 @@
     assert READ.deadline > 1.0 and not [
         pending for pending in harness.gateway.pending.values() if pending.request.is_check
     ]
+
+
+# Guards against a lease that nobody granted: a check granted beyond the quota took no units of it.
+def test_units_of_a_check_granted_beyond_the_quota_are_not_returned_to_it():
+    profitable = make_plan(rate=0.01, burst=4.0, over_quota_weight=2.0, over_quota_cost=1.0)
+    harness = make_harness([profitable])
+    answers = [send_check(harness) for _ in range(12)]
+    beyond = [answer for answer in answers if answer.window_index is None]
+    assert len(beyond) >= 4 and all(isinstance(answer, messages.QuotaGranted) for answer in answers)
+    quota = harness.gateway.quotas["c"]
+    leased_units = quota.leased_units
+    for answer in beyond:
+        harness.handle(messages.ReturnUnits("c", 1.0, answer.window_index, "p"))
+    assert quota.leased_units == leased_units
