Serve gRPC calls that come after a drain is acknowledged, until it is over

Change: calls are served until the drain is over: finish less the longest deadline, 1 s at least, bounded by finish. Then the final GOAWAY follows. A client that never acknowledges or that rests is closed then. The exit waits for responses that are not written and for clients to close. test_draining_answers_accepted_calls_and_accepts_no_new_ones held the session to the final GOAWAY at the acknowledgement, which is the fault; its successor asks for a call served after the acknowledgement and refused after the end.

--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -271,7 +271,9 @@
         # Close the listener immediately: it must be closed by the time the reload is reported.
         if not has_waiting_connections:
             frontend.start_draining()
-        self._close_in_background(retire_frontend(frontend, is_listener_open=has_waiting_connections))
+        self._close_in_background(
+            retire_frontend(self.core, frontend, has_waiting_connections, self.config.shutdown_timeout)
+        )
 
     def set_plugins(self, plugins: PluginManager | None) -> None:
         """Replace the plug-ins that are called for requests; None to call none."""
--- a/apigateway/daemon/graceful_shutdown.py
+++ b/apigateway/daemon/graceful_shutdown.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Collection, Sequence
 from typing import TYPE_CHECKING
@@ -21,7 +22,8 @@
 MAX_ACCEPT_WAIT_S = 0.1
 # How long the event loop gets to read what was in the sockets when draining began; also the polling interval.
 READ_INTERVAL_S = 0.005
-# How long gRPC clients get to receive GOAWAY and close their connections.
+# How long gRPC clients get at least to receive GOAWAY and close their connections, and how long at most to
+# close them after the final GOAWAY.
 GRPC_SETTLE_S = 1.0
 # How long the rest of an incomplete RESP command may take to arrive once connections are draining.
 RESP_SETTLE_S = 0.25
@@ -40,19 +42,36 @@
         frontend.start_draining()
 
 
-async def retire_frontend(frontend: Frontend, is_listener_open: bool) -> None:
+async def retire_frontend(
+    core: RequestDispatcher, frontend: Frontend, is_listener_open: bool, timeout: float
+) -> None:
     """Complete a frontend's accepted requests, then close it.
 
     Args:
+        core: Knows how long a request may take.
         frontend: Frontend whose listener a reload has removed from the settings.
         is_listener_open: Whether its listener is still open because connections wait to be accepted.
+        timeout: Seconds for which a client that keeps its connection open may open calls and get answers.
     """
     if is_listener_open:
         await close_listeners([frontend])
+    await frontend.wait_settled(grpc_drain_time(core, timeout))
     await frontend.wait_disconnected()
     frontend.close()
 
 
+def grpc_drain_time(core: RequestDispatcher, remaining: float) -> float:
+    """Return the seconds for which gRPC calls are still accepted.
+
+    What is left of `remaining`, the seconds until the process must end, is enough to answer any request.
+
+    Clients should open no more calls by then, but some have opened them before they read the GOAWAY and send
+    them later. A refusal would be reported to their callers as a failure.
+    """
+    longest_deadline = max(service_class.deadline for service_class in core.settings.classes.values())
+    return min(max(0.0, remaining), max(GRPC_SETTLE_S, remaining - longest_deadline))
+
+
 async def complete_requests(
     core: RequestDispatcher,
     frontends: Sequence[Frontend],
@@ -70,18 +89,34 @@
     await close_listeners(frontends)
     await asyncio.sleep(READ_INTERVAL_S)
     await _handle_deferred_commands(core, deadline)
-    for frontend in frontends:
-        max_wait_s = GRPC_SETTLE_S if frontend.address in grpc_addresses else RESP_SETTLE_S
-        await frontend.wait_settled(min(max_wait_s, max(0.0, deadline - time.monotonic())))
+    remaining = max(0.0, deadline - time.monotonic())
+    grpc_frontends = [frontend for frontend in frontends if frontend.address in grpc_addresses]
+    resp_frontends = [frontend for frontend in frontends if frontend.address not in grpc_addresses]
+    await asyncio.gather(
+        *(frontend.wait_settled(grpc_drain_time(core, remaining)) for frontend in grpc_frontends),
+        *(frontend.wait_settled(min(RESP_SETTLE_S, remaining)) for frontend in resp_frontends),
+    )
     await core.drain(deadline - time.monotonic())
     # The last responses are written at the end of this loop iteration, if the socket buffers have room.
     await asyncio.sleep(0)
     while any(frontend.has_unwritten_responses for frontend in frontends) and time.monotonic() < deadline:
         await asyncio.sleep(READ_INTERVAL_S)
+    await _wait_disconnected(grpc_frontends, min(GRPC_SETTLE_S, deadline - time.monotonic()))
     for frontend in frontends:
         frontend.close()
 
 
+async def _wait_disconnected(frontends: Sequence[Frontend], timeout: float) -> None:
+    """Wait until the clients have closed their connections, for at most `timeout` seconds.
+
+    Closing a socket with unread bytes resets the connection, which can discard the last responses.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout):
+            for frontend in frontends:
+                await frontend.wait_disconnected()
+
+
 async def _handle_deferred_commands(core: RequestDispatcher, deadline: float) -> None:
     """Let the event loop handle the commands that were deferred while it was overloaded."""
     admission = core.admission
--- a/apigateway/frontends/grpc/connection.py
+++ b/apigateway/frontends/grpc/connection.py
@@ -41,6 +41,10 @@
     def is_draining(self) -> bool:
         """Whether new connections must start draining at once."""
 
+    @property
+    def is_drain_over(self) -> bool:
+        """Whether new connections must not open any call."""
+
     def on_connected(self, connection: GrpcConnection) -> None:
         """Register a new connection."""
 
@@ -83,6 +87,8 @@
         self.write()
         if self._owner.is_draining:  # the shutdown began during the TLS handshake
             self.start_draining()
+        if self._owner.is_drain_over:
+            self.finish_draining()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all open calls."""
@@ -184,15 +190,29 @@
             self._is_close_scheduled = True
             asyncio.get_running_loop().call_later(CLIENT_CLOSE_TIMEOUT_S, self.transport.close)
 
+    @property
+    def has_unwritten_responses(self) -> bool:
+        """Whether responses wait for the client to read or to open its flow control window."""
+        return bool(self.session.responses.pending or self.transport.get_write_buffer_size())
+
     def start_draining(self) -> None:
-        """Accept no new calls, let unary calls finish and end streaming calls, which have no natural end."""
+        """Ask the client to open no more calls, and end streaming calls, which have no natural end."""
+        self._end_streaming_calls()
+        self._owner.on_draining(self)
+        self.session.start_draining()
+        self.write()
+
+    def finish_draining(self) -> None:
+        """Accept no more calls, and close the connection once the unary calls are answered."""
+        self._end_streaming_calls()
+        self.session.finish_draining()
+        self.write()
+
+    def _end_streaming_calls(self) -> None:
         for stream_id, handler in list(self._stream_handlers.items()):
             self.remove_call(stream_id)
             handler.on_cancelled()
             self.session.send_status(stream_id, GrpcStatus.UNAVAILABLE, "this server ends")
-        self._owner.on_draining(self)
-        self.session.start_draining()
-        self.write()
 
 
 class _UnaryResponse:
--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -18,8 +18,10 @@
 
 # A connection that receives no data and has no open call is closed after this time.
 IDLE_TIMEOUT_S = 120.0
-# How long a client may leave written data unread, or a GOAWAY unacknowledged.
+# How long a client may leave written data unread.
 WRITE_BLOCKED_TIMEOUT_S = 5.0
+# How long calls are still accepted on an idle connection that is being closed.
+IDLE_DRAIN_TIME_S = 5.0
 # Time limit for the TLS handshake.
 HANDSHAKE_TIMEOUT_S = 5.0
 # Interval of timeout checks, and delay before accepting again after running out of file descriptors.
@@ -65,6 +67,7 @@
         self.connections: set[GrpcConnection] = set()
         self.failed_handshakes = 0
         self.is_draining = False
+        self.is_drain_over = False
         self._max_connections = max_connections
         self._max_partial_bytes = max_partial_bytes
         self._partial_bytes = 0
@@ -191,7 +194,7 @@
         self._write_blocked_since.pop(connection, None)
 
     def on_draining(self, connection: GrpcConnection) -> None:
-        """Start the timeout for a client to acknowledge that its connection is draining."""
+        """Record when a connection began to drain."""
         self._draining_since.setdefault(connection, monotonic())
 
     def update_partial_bytes(self, connection: GrpcConnection) -> bool:
@@ -210,14 +213,23 @@
         before = now - WRITE_BLOCKED_TIMEOUT_S
         for connection in [blocked for blocked, since in self._write_blocked_since.items() if since < before]:
             connection.transport.abort()
-        for connection, since in list(self._draining_since.items()):
-            if since < before and connection.session.is_idle:
-                connection.transport.abort()  # the client never acknowledged the GOAWAY
+        if not self.is_draining:
+            self._finish_idle_connections(now - IDLE_DRAIN_TIME_S)
         idle_before = now - IDLE_TIMEOUT_S
         for connection in [idle for idle in self.connections if idle.last_received_at < idle_before]:
             if connection.session.is_idle:
                 connection.start_draining()
 
+    def _finish_idle_connections(self, started_before: float) -> None:
+        """Finish the connections that began to drain because they were idle."""
+        for connection, since in list(self._draining_since.items()):
+            if since >= started_before:
+                continue
+            if connection.session.is_idle and not connection.session.is_drain_acknowledged:
+                connection.transport.abort()  # the client does not read
+            else:
+                connection.finish_draining()
+
     # Shutdown, in the order of the calls
 
     def announce_shutdown(self) -> None:
@@ -238,7 +250,10 @@
             self._listener = None
 
     def start_draining(self) -> None:
-        """Accept no new connections or calls; each connection closes once its calls are answered."""
+        """Accept no new connections, and ask the clients to open no more calls.
+
+        Calls are accepted until `finish_draining`; a client without calls closes its connection before.
+        """
         self.stop_accepting()
         self.is_draining = True
         self.announce_shutdown()
@@ -246,15 +261,29 @@
             connection.start_draining()
 
     async def wait_settled(self, timeout: float) -> None:
-        """Wait until all connections are closed, for at most `timeout` seconds."""
+        """Wait until all connections are closed, for at most `timeout` seconds, then accept no more calls."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout):
                 await self.wait_disconnected()
+        self.finish_draining()
+
+    def finish_draining(self) -> None:
+        """Accept no more calls; each connection closes once its calls are answered."""
+        self.is_drain_over = True
+        unacknowledged = sum(not one.session.is_drain_acknowledged for one in self.connections)
+        if self.connections:
+            log.info(
+                "drain over: closing %d gRPC connections, of which %d did not acknowledge it",
+                len(self.connections),
+                unacknowledged,
+            )
+        for connection in list(self.connections):
+            connection.finish_draining()
 
     @property
     def has_unwritten_responses(self) -> bool:
-        """Always False: `wait_settled` has waited for the connections to close."""
-        return False
+        """Whether a connection has not written a response completely."""
+        return any(connection.has_unwritten_responses for connection in self.connections)
 
     async def wait_disconnected(self) -> None:
         """Wait until all connections are closed."""
--- a/apigateway/frontends/grpc/server_session.py
+++ b/apigateway/frontends/grpc/server_session.py
@@ -83,6 +83,7 @@
         partial_bytes: The bytes of partial messages.
         must_close: Whether to close the connection after writing `data_to_send`.
         is_finished: Whether the connection has ended gracefully, so that the client should close it.
+        is_drain_acknowledged: Whether the client has acknowledged the PING after the first GOAWAY.
     """
 
     def __init__(self, streaming_paths: Container[str] = ()) -> None:
@@ -90,6 +91,7 @@
         self.partial_bytes = 0
         self.must_close = False
         self.is_finished = False
+        self.is_drain_acknowledged = False
         self._connection = _create_connection()
         self.responses = ResponseWriter(self._connection)
         self._goaway_filter = GoAwayFilter(CLIENT_PREFACE)
@@ -161,7 +163,7 @@
             case h2.events.WindowUpdated() | h2.events.RemoteSettingsChanged():
                 self.responses.flush()
             case h2.events.PingAckReceived() if event.ping_data == DRAIN_PING_DATA:
-                self._on_drain_acknowledged()
+                self.is_drain_acknowledged = True
 
     def _on_request(self, event: h2.events.RequestReceived, events: list[SessionEvent]) -> None:
         """Handle the headers of a call."""
@@ -319,11 +321,11 @@
     # Shutdown
 
     def start_draining(self) -> None:
-        """Start a graceful shutdown; the session is finished once all accepted calls are answered.
+        """Start a graceful shutdown: ask the client to open no more streams.
 
-        Follows the two steps of RFC 9113, 6.8. The first GOAWAY asks the client to open no more streams;
-        streams opened before the client reads it are still accepted. The acknowledgement of the PING sent
-        after it shows that no more can arrive, and a second GOAWAY follows. h2 itself supports only an
+        Follows the two steps of RFC 9113, 6.8. Streams are accepted until `finish_draining`. The
+        acknowledgement of the PING that follows the GOAWAY does not end that: some clients acknowledge it
+        before they send the HEADERS of streams that they have opened already. h2 itself supports only an
         immediate shutdown.
         """
         if not (self._is_draining or self._rejects_new_calls):
@@ -331,8 +333,11 @@
             self._raw_frames.append(GoAwayFrame(0, last_stream_id=MAX_STREAM_ID, error_code=0).serialize())
             self._raw_frames.append(PingFrame(0, opaque_data=DRAIN_PING_DATA).serialize())
 
-    def _on_drain_acknowledged(self) -> None:
-        """Send the final GOAWAY with the last accepted stream."""
+    def finish_draining(self) -> None:
+        """Send the final GOAWAY with the last accepted stream; later ones are refused.
+
+        The session is finished once all accepted calls are answered.
+        """
         if self._is_draining and not self._rejects_new_calls:
             self._rejects_new_calls = True
             goaway = GoAwayFrame(0, last_stream_id=self._last_stream_id, error_code=0)
--- a/tests/frontends/grpc/test_server_session.py
+++ b/tests/frontends/grpc/test_server_session.py
@@ -225,7 +225,7 @@
     assert peers.data(stream_id) == frame_message(b"y" * 100) and peers.status(stream_id) == (0, b"")
 
 
-def test_draining_answers_accepted_calls_and_accepts_no_new_ones():
+def test_draining_answers_accepted_calls_and_accepts_no_new_ones_once_it_is_over():
     peers = ServerWithH2Client()
     stream_id = peers.call()
     peers.session.start_draining()
@@ -238,13 +238,21 @@
     other_data, last_stream_id = rpc.GoAwayFilter().feed(goaway_data)
     assert last_stream_id == 2**31 - 1
     client.receive_data(other_data)  # the client receives the GOAWAY and acknowledges the PING
+    assert not peers.session.is_drain_acknowledged
     assert not peers.session.receive(client.data_to_send())
-    assert rpc.GoAwayFilter().feed(peers.session.data_to_send())[1] == late_id
+    assert peers.session.is_drain_acknowledged and not peers.session.data_to_send()
+    later_id = client.get_next_available_stream_id()  # opened before, sent after the acknowledgement
+    client.send_headers(later_id, make_headers())
+    client.send_data(later_id, frame_message(b"later"), end_stream=True)
+    assert [call.stream_id for call in peers.session.receive(client.data_to_send())] == [later_id]
+    peers.session.finish_draining()
+    assert rpc.GoAwayFilter().feed(peers.session.data_to_send())[1] == later_id
     refused_id = client.get_next_available_stream_id()
     client.send_headers(refused_id, make_headers(), end_stream=True)  # a protocol violation after the GOAWAY
     assert not peers.session.receive(client.data_to_send())
-    peers.session.send_response(stream_id, b"in time")
-    peers.session.send_response(late_id, b"in time too")
+    for open_id in (stream_id, late_id, later_id):
+        assert not peers.session.is_finished
+        peers.session.send_response(open_id, b"in time")
     assert (
         not peers.session.is_finished
         and peers.session.data_to_send()
