End a stream that sends an invalid message by trailers if it has got headers

Callers saw their HTTP/2 connection fail: a second header block with :status.

Cause: _on_data ended the call with a whole response though its response headers had been sent; send_status told the two cases apart. Both end a call in _send_final_status now.

Measured: the new test failed before with "Received pseudo-header in trailer" and passes now; 36 tests of the session pass.

--- a/apigateway/frontends/grpc/server_session.py
+++ b/apigateway/frontends/grpc/server_session.py
@@ -222,9 +222,7 @@
             if stream_id in self._open_calls:  # a streaming call: notify its handler
                 self._open_calls.discard(stream_id)
                 events.append(CallCancelled(stream_id))
-            self._send_trailers_only(stream_id, error.status, str(error))
-            if not is_ended:
-                self._stop_reading(stream_id)
+            self._send_final_status(stream_id, error.status, str(error), is_fully_read=is_ended)
 
     def _on_half_closed(self, stream_id: int | None, events: list[SessionEvent]) -> None:
         """Handle the half-close of a stream: report a unary call or the end of a client stream."""
@@ -287,13 +285,18 @@
         if stream_id not in self._open_calls:
             return
         self._open_calls.discard(stream_id)
-        has_unread_messages = self._remove_incoming_call(stream_id) is not None
+        is_fully_read = self._remove_incoming_call(stream_id) is None
+        self._send_final_status(stream_id, status, text, is_fully_read)
+
+    def _send_final_status(self, stream_id: int, status: int, text: str, is_fully_read: bool) -> None:
+        """Send a status: as trailers if response headers were sent before, else as the whole response."""
         if stream_id in self._started_streams:
             self._started_streams.discard(stream_id)
-            self._write(stream_id, b"", status_headers(status, text))
+            with suppress(*CLOSED_STREAM_ERRORS):  # the client cancelled the call in the same bytes
+                self._write(stream_id, b"", status_headers(status, text))
         else:
             self._send_trailers_only(stream_id, status, text)
-        if has_unread_messages and stream_id not in self.responses.pending:
+        if not is_fully_read and stream_id not in self.responses.pending:
             self._stop_reading(stream_id)
 
     def _send_trailers_only(self, stream_id: int, status: int, text: str) -> None:
--- a/tests/frontends/grpc/test_server_session.py
+++ b/tests/frontends/grpc/test_server_session.py
@@ -410,6 +410,21 @@
     )
 
 
+# Guards against a second header block, which clients take for a broken connection.
+def test_streaming_call_that_got_a_message_and_sends_an_invalid_one_is_ended_by_trailers():
+    peers = StreamingServerWithH2Client()
+    stream_id = peers.open(b"one")
+    peers.session.send_message(stream_id, b"said")
+    peers.client.send_data(stream_id, b"\1\0\0\0\1x")
+    peers.exchange()
+    assert peers.data(stream_id) == frame_message(b"said")
+    responses = [event for event in peers.client_events if isinstance(event, h2.events.ResponseReceived)]
+    trailers = [event for event in peers.client_events if isinstance(event, h2.events.TrailersReceived)]
+    assert len(responses) == len(trailers) == 1
+    assert peers.status(stream_id)[0] == GrpcStatus.UNIMPLEMENTED and peers.session.is_idle
+    assert peers.call() == peers.server_events[-1].stream_id  # the connection goes on
+
+
 def test_unsent_bytes_of_a_stream_that_is_not_read_are_bounded():
     peers = StreamingServerWithH2Client()
     peers.client.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 0})
