Report an attempt whose encoding raises as not sent

Callers would have seen the request fail at its deadline, and the decision module would have counted the attempt as in flight at its host for ever.

Cause: AttemptHandler._send raised before the attempt was registered, so nothing reported its outcome. It is reported as abandoned now.

Measured: the new test failed before (no AttemptOutcome) and passes now.

--- a/apigateway/core/attempts.py
+++ b/apigateway/core/attempts.py
@@ -85,9 +85,14 @@
 
     def _send(self, in_flight: InFlightRequest, number: int, endpoint_id: str, timeout: float) -> None:
         upstream = self._context.upstream
-        payload = in_flight.upstream_request.encode(timeout)
         tag: AttemptTag = (in_flight, number)
-        attempt = upstream.create_attempt(endpoint_id, payload, self._on_ended, tag)
+        try:
+            payload = in_flight.upstream_request.encode(timeout)
+            attempt = upstream.create_attempt(endpoint_id, payload, self._on_ended, tag)
+        except Exception:
+            log.exception("request %s: failed to encode an attempt", in_flight.request_id)
+            self._report_abandoned(in_flight, number, endpoint_id)
+            return
         in_flight.active_attempts[number] = attempt
         upstream.send(attempt, timeout)
 
--- a/tests/core/test_attempts.py
+++ b/tests/core/test_attempts.py
@@ -44,3 +44,19 @@
         outcome.is_final,
     ) == ("a", 1, "h2", "moot", True)
     assert len(harness.upstream.sent) == 1
+
+
+# Guards against an attempt without an outcome, which the module would count as in flight for ever.
+def test_attempt_when_its_encoding_raises_then_it_is_reported_as_not_sent():
+    harness = DispatcherHarness()
+    sink = harness.submit("a")
+
+    def fail(remaining):
+        raise ValueError("cannot be encoded")
+
+    harness.core.in_flight["a"].upstream_request.encode = fail
+    harness.module.next_actions = [messages.ForwardRequest("a", "h1")]
+    harness.core.dispatch(messages.TimerExpired(0))
+    assert not harness.upstream.sent
+    assert harness.module.events[-1] == messages.AttemptOutcome("a", 0, "h1", "moot", 0.0, False)
+    assert not sink.answers  # the module answers it
