Let a recorder with a full queue still get its end mark

Operators would have seen a thread and an open file more after each reload that replaced a recorder whose queue was full.

Cause: the end mark went through the limit of the queue and was dropped with it. The limit counts records now; the queue itself has none.

Measured: the new test failed before (the thread was alive) and passes now.

--- a/apigateway/plugins/records.py
+++ b/apigateway/plugins/records.py
@@ -19,7 +19,6 @@
 ROTATED_SUFFIX = ".1"
 
 _CLOSE_TIMEOUT_S = 5.0  # wait for the thread at close; a hanging disk must not block the shutdown
-_FULL_QUEUE_TIMEOUT_S = 1.0  # wait for space in a full queue at close
 
 log = logging.getLogger(__name__)
 
@@ -103,7 +102,9 @@
         self.failed = 0
         self._size = 0  # bytes
         self._file = self._open()
-        self._queue: queue.Queue[dict[str, Any] | None] = queue.Queue(queue_size)  # None ends the thread
+        self._max_queued = queue_size
+        # None ends the thread. The queue itself has no limit, so that there is always room for it.
+        self._queue: queue.SimpleQueue[dict[str, Any] | None] = queue.SimpleQueue()
         self.thread = threading.Thread(target=self._run, name="records", daemon=True)
         self.thread.start()
 
@@ -116,11 +117,11 @@
         """Queue the record of a finished request, if it is to be recorded; never blocks."""
         if self.required_tag and self.required_tag not in effects.tags:
             return
-        try:
-            self._queue.put_nowait(build_record(view, effects, list(endpoint_ids)))
-            self.accepted += 1
-        except queue.Full:
+        if self._queue.qsize() >= self._max_queued:
             self.dropped += 1
+            return
+        self._queue.put(build_record(view, effects, list(endpoint_ids)))
+        self.accepted += 1
 
     def _run(self) -> None:
         while (record := self._queue.get()) is not None:
@@ -162,15 +163,9 @@
 
     def finish(self) -> None:
         """Have the thread write the queued records and end, without waiting for it."""
-        try:
-            self._queue.put_nowait(None)
-        except queue.Full:
-            self.dropped += 1
+        self._queue.put(None)
 
     def close(self) -> None:
         """Have the thread write the queued records and end, and wait for it for a limited time."""
-        try:
-            self._queue.put(None, timeout=_FULL_QUEUE_TIMEOUT_S)
-        except queue.Full:
-            return
+        self.finish()
         self.thread.join(_CLOSE_TIMEOUT_S)
--- a/tests/plugins/test_plugin_records.py
+++ b/tests/plugins/test_plugin_records.py
@@ -62,3 +62,28 @@
     assert full_recorder.dropped >= 8
     blocked.set()
     full_recorder.close()
+
+
+# Guards against an end mark that found the queue full: the thread and its file stayed open for ever.
+def test_recorder_that_finishes_with_a_full_queue_writes_it_and_ends(tmp_path):
+    file = tmp_path / "r.jsonl"
+    recorder = RequestRecorder(str(file), "", 10**6, 2)
+    write = recorder._write
+    is_writing, may_write = threading.Event(), threading.Event()
+
+    def blocked_write(record):
+        is_writing.set()
+        may_write.wait()
+        write(record)
+
+    recorder._write = blocked_write
+    recorder.record(RequestView("first"), RequestEffects(), [])
+    is_writing.wait()
+    for number in range(3):
+        recorder.record(RequestView(str(number)), RequestEffects(), [])
+    assert recorder.dropped == 1
+    recorder.finish()
+    may_write.set()
+    recorder.thread.join(30)
+    assert not recorder.thread.is_alive() and recorder._file.closed
+    assert [record["id"] for _, record in read_records(str(file))] == ["first", "0", "1"]
