Take an answer's time from its arrival at the client's socket, not from the read

Cause: the test's own loop, which runs clients, hosts and relays, read the answer late, and the ledger took that time.

Change: clients read their sockets with the kernel's time of arrival; the margin is unchanged. Verdicts of late answers show the delays. With API_GATEWAY_DEBUG a gateway logs the time left at each response and its late turns. In place of a process of their own for the clients, this takes the harness's lateness out of the judged time altogether.

--- a/apigateway/core/responses.py
+++ b/apigateway/core/responses.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import Any, Literal, cast, overload
 
 from apigateway import messages
 from apigateway.core.context import CoreContext
+from apigateway.core.deadlines import RESPONSE_MARGIN_S
 from apigateway.core.event_dispatcher import EventDispatcher
 from apigateway.core.in_flight_request import InFlightRequest
 from apigateway.core.in_flight_table import InFlightTable
@@ -27,6 +29,7 @@
         self._context = context
         self._table = table
         self._events = events
+        self._logs_times = log.isEnabledFor(logging.DEBUG)  # read once: it is asked for every response
 
     def reject_without_capacity(self, sink: ResponseSink) -> None:
         """Reject a request that was not accepted for lack of capacity, so that there is none to release."""
@@ -82,6 +85,8 @@
         if in_flight.pending_check is not None:
             self._cancel_external_check(in_flight)
         self._respond(in_flight, outcome, response)
+        if self._logs_times:
+            self._log_time(in_flight, outcome)
         if in_flight.active_attempts:
             self._abandon_unwritten_attempts(in_flight)
         if in_flight.plugins is not None:
@@ -121,6 +126,11 @@
         except Exception:  # the request's capacity must be released even if the frontend raises
             log.exception("request %s: the frontend failed to send the response", in_flight.request_id)
 
+    def _log_time(self, in_flight: InFlightRequest, outcome: RequestOutcome) -> None:
+        """Log how long before its client's timeout a response was written."""
+        left_s = in_flight.deadline + RESPONSE_MARGIN_S - time.monotonic()
+        log.debug("request %s: %s written, %.4f s left", in_flight.request_id, outcome.name, left_s)
+
     def _cancel_external_check(self, in_flight: InFlightRequest) -> None:
         limiter = self._context.external_ratelimit
         if limiter is not None:
--- a/apigateway/daemon/gateway_process.py
+++ b/apigateway/daemon/gateway_process.py
@@ -30,6 +30,7 @@
 from apigateway.daemon.handover_successor import HandoverSuccessor
 from apigateway.daemon.lock import StateFolderLock
 from apigateway.daemon.logs import LogRateLimiter
+from apigateway.daemon.loop_lag_log import start_loop_lag_log
 from apigateway.daemon.notify import Notifier
 from apigateway.daemon.optional_services import build_plugins, build_ratelimit_config
 from apigateway.daemon.reload import RunningGateway, SettingsReloader
@@ -94,6 +95,7 @@
             OSError, StateFolderLockedError, HandoverError, InvalidConfigFileError: The gateway cannot start.
         """
         self._install_signal_handlers()
+        start_loop_lag_log(self._loop)
         try:
             gateway = await self._start(take_over)
             if gateway is not None:  # None: a stop was requested before it served
--- a/apigateway/daemon/logs.py
+++ b/apigateway/daemon/logs.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 
 # CPU time is limited, and logging a repeated fault must not use it up.
 DEFAULT_MAX_LINES_PER_SECOND = 5
+# Environment variable that turns on the lines of level DEBUG, such as the time of each response.
+DEBUG_VARIABLE = "API_GATEWAY_DEBUG"
 
 
 class LogRateLimiter(logging.Filter):
@@ -40,7 +43,8 @@
 
 def start_log(max_lines_per_second: int = DEFAULT_MAX_LINES_PER_SECOND) -> LogRateLimiter:
     """Configure the root logger and return its rate limiter."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    level = logging.DEBUG if os.environ.get(DEBUG_VARIABLE) else logging.INFO
+    logging.basicConfig(stream=sys.stderr, level=level, format="%(asctime)s %(levelname)s %(message)s")
     rate_limiter = LogRateLimiter(max_lines_per_second)
     logging.getLogger().handlers[0].addFilter(rate_limiter)
     return rate_limiter
--- a/apigateway/emulators/clients.py
+++ b/apigateway/emulators/clients.py
@@ -7,15 +7,18 @@
 
 import asyncio
 import itertools
+import math
 import random
+import socket
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import hiredis
 
 from apigateway.emulators.client_messages import Answer, ClientRequest, ResultKind, parse_answer
 from apigateway.emulators.ledger import Ledger
+from apigateway.emulators.timestamped_socket import enable_timestamps, receive
 
 __all__ = [
     "Address",
@@ -35,56 +38,82 @@
 ID_PREFIX_BITS = 32  # shared by all request ids of one `Traffic`
 
 
-class ClientConnection(asyncio.Protocol):
+class ReceivedAnswer(NamedTuple):
+    """An answer, and when its last byte arrived at the client's socket, by `time.monotonic`."""
+
+    answer: Answer
+    arrived_at: float = math.nan  # not known of a lost request
+
+
+class ClientConnection:
     """A persistent connection with at most one open request.
 
+    It reads its socket itself, to learn from the kernel when an answer arrived: the event loop may read it
+    later, which is not the gateway's delay.
+
     Attributes:
         answer_count: The number of requests answered on it.
         is_open: Whether it has not been closed.
     """
 
-    def __init__(self, client: Client, gateway: str) -> None:
+    def __init__(self, client: Client, gateway: str, sock: socket.socket) -> None:
         self._client = client
+        self._socket = sock
         self._parser = hiredis.Reader(notEnoughData=...)
-        self._pending: asyncio.Future[Answer] | None = None
+        self._pending: asyncio.Future[ReceivedAnswer] | None = None
         self.gateway = gateway
         self.answer_count = 0
         self.is_open = True
-        self.transport: asyncio.Transport
+        enable_timestamps(sock)
+        asyncio.get_running_loop().add_reader(sock, self._on_readable)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        self.transport = transport  # type: ignore[assignment]
+    def _on_readable(self) -> None:
+        try:
+            received = receive(self._socket)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.close()
+            return
+        if not received.data:
+            self.close()
+            return
+        self._parser.feed(received.data)
+        while (reply := self._parser.gets()) is not ...:
+            self._on_reply(reply, received.arrived_at)
 
-    def data_received(self, data: bytes) -> None:
+    def _on_reply(self, reply: Any, arrived_at: float) -> None:
         """Complete the open request with its reply; record a reply without a request in the ledger."""
-        self._parser.feed(data)
-        while (reply := self._parser.gets()) is not ...:
-            if self._pending is None or self._pending.done():
-                self._client.ledger.record_unsolicited_answer(self.gateway)
-            else:
-                self.answer_count += 1
-                self._pending.set_result(parse_answer(reply))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Complete the open request as lost."""
+        if self._pending is None or self._pending.done():
+            self._client.ledger.record_unsolicited_answer(self.gateway)
+        else:
+            self.answer_count += 1
+            self._pending.set_result(ReceivedAnswer(parse_answer(reply), arrived_at))
+
+    def close(self) -> None:
+        """Close the connection; an open request counts as lost."""
+        if not self.is_open:
+            return
         self.is_open = False
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
         self._client.remove_idle(self)
         if self._pending is not None and not self._pending.done():
-            self._pending.set_result(Answer(ResultKind.LOST))
+            self._pending.set_result(ReceivedAnswer(Answer(ResultKind.LOST)))
 
-    async def send(self, message: bytes, seconds: float) -> Answer:
+    async def send(self, message: bytes, seconds: float) -> ReceivedAnswer:
         """Send a request and return its answer; after `seconds` without one it counts as lost."""
-        self._pending = asyncio.get_running_loop().create_future()
-        self.transport.write(message)
+        loop = asyncio.get_running_loop()
+        self._pending = loop.create_future()
         try:
             async with asyncio.timeout(seconds):
-                answer = await self._pending
-        except TimeoutError:
-            self.transport.abort()
-            return Answer(ResultKind.LOST)
+                await loop.sock_sendall(self._socket, message)
+                received = await self._pending
+        except (TimeoutError, OSError):
+            self.close()
+            return ReceivedAnswer(Answer(ResultKind.LOST))
         self._pending = None
-        return answer
+        return received
 
 
 class Client:
@@ -110,16 +139,16 @@
         if connection is None:
             return Answer(ResultKind.UNREACHABLE)
         was_used = connection.answer_count > 0
-        answer = await self._send_on(connection, request)
+        answer, arrived_at = await self._send_on(connection, request)
         if answer.kind == ResultKind.LOST and was_used:
             new_connection = await self._connection(gateway, is_new=True)
             if new_connection is not None:
                 connection = new_connection
-                answer = await self._send_on(connection, request)
+                answer, arrived_at = await self._send_on(connection, request)
         if answer.kind == ResultKind.LOST:
             self.ledger.record_disconnect(request.id)
         else:
-            self.ledger.record_answer(request.id, answer.kind, answer.value)
+            self.ledger.record_answer(request.id, answer.kind, answer.value, arrived_at)
             if connection.is_open:
                 self._idle[gateway].append(connection)
         return answer
@@ -128,18 +157,19 @@
         """Return an idle connection or a new one; None if the gateway cannot be reached."""
         if self._idle[gateway] and not is_new:
             return self._idle[gateway].pop()
-        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self, gateway), *self.gateways[gateway]
-                )
+                await asyncio.get_running_loop().sock_connect(sock, self.gateways[gateway])
         except (OSError, TimeoutError):
+            sock.close()
             self.connect_failures += 1
             return None
-        return connection
+        return ClientConnection(self, gateway, sock)
 
-    async def _send_on(self, connection: ClientConnection, request: ClientRequest) -> Answer:
+    async def _send_on(self, connection: ClientConnection, request: ClientRequest) -> ReceivedAnswer:
         self.ledger.record_request(
             request.id,
             connection.gateway,
@@ -160,7 +190,7 @@
     def close(self) -> None:
         """Close the idle connections."""
         for connection in itertools.chain.from_iterable(list(idle) for idle in self._idle.values()):
-            connection.transport.close()
+            connection.close()
 
 
 @dataclass(frozen=True, slots=True)
--- a/apigateway/emulators/ledger.py
+++ b/apigateway/emulators/ledger.py
@@ -27,6 +27,7 @@
     UnsolicitedAnswer,
 )
 from apigateway.emulators.ledger_rules import RULES, CeilingUse, Verdict, ceiling_uses, check_rules
+from apigateway.emulators.loop_lag import LoopLagMonitor
 
 __all__ = [
     "RULES",
@@ -50,6 +51,7 @@
         super().__init__()
         self.limits = limits
         self.clock = clock
+        self.loop_lag = LoopLagMonitor()  # of the loop of clients and hosts, while it is started
 
     # Clients
 
@@ -71,9 +73,18 @@
                 id, gateway, self.clock(), timeout_s, customer, plan, service_class, units
             )
 
-    def record_answer(self, id: str, kind: str, value: bytes = b"") -> None:
-        """Record a request's answer; `kind` is an `AnswerKind`."""
-        self.requests[id].answers.append(RecordedAnswer(self.clock(), kind, value))
+    def record_answer(self, id: str, kind: str, value: bytes = b"", arrived_at: float = math.nan) -> None:
+        """Record a request's answer.
+
+        Args:
+            id: The request.
+            kind: An `AnswerKind`.
+            value: The value, if the request was served.
+            arrived_at: When its last byte arrived at the client's socket, if that is known; else now.
+        """
+        now = self.clock()
+        at = now if math.isnan(arrived_at) else min(now, arrived_at)
+        self.requests[id].answers.append(RecordedAnswer(at, kind, value, now))
 
     def record_disconnect(self, id: str) -> None:
         """Record that a request's connection ended without an answer."""
@@ -138,7 +149,7 @@
 
     def check_rules(self) -> tuple[Verdict, ...]:
         """Return one verdict for each rule, in the order of `RULES`; call it once all traffic has ended."""
-        return check_rules(self, self.limits)
+        return check_rules(self, self.limits, self.loop_lag)
 
     def ceiling_uses(self, by_id: AttemptsById) -> dict[str, CeilingUse]:
         """Return how much of its ceiling each customer left unused."""
--- a/apigateway/emulators/ledger_records.py
+++ b/apigateway/emulators/ledger_records.py
@@ -92,9 +92,10 @@
 class RecordedAnswer(NamedTuple):
     """An answer that a client received."""
 
-    at: float
+    at: float  # when its last byte arrived
     kind: str  # an `AnswerKind`
     value: bytes
+    read_at: float = math.nan  # when the client's event loop read it
 
 
 @dataclass(slots=True)
--- a/apigateway/emulators/ledger_rules.py
+++ b/apigateway/emulators/ledger_rules.py
@@ -22,10 +22,12 @@
     ClassRules,
     ColdStart,
     HostState,
+    RecordedAnswer,
     RecordedRequest,
     Records,
     RuleLimits,
 )
+from apigateway.emulators.loop_lag import LoopLagMonitor
 
 CEILING_MARGIN_S = 0.15  # seconds of a ceiling's rate, added to its slack on sockets
 ROUNDING = 1e-9  # tolerance for sums of work and of units
@@ -87,11 +89,16 @@
     plan: str
 
 
-def check_rules(records: Records, limits: RuleLimits) -> tuple[Verdict, ...]:
-    """Return one verdict for each rule, in the order of `RULES`."""
+def check_rules(
+    records: Records, limits: RuleLimits, loop_lag: LoopLagMonitor | None = None
+) -> tuple[Verdict, ...]:
+    """Return one verdict for each rule, in the order of `RULES`.
+
+    `loop_lag` is the lag of the loop that runs clients and hosts; it is shown beside late answers.
+    """
     by_id = records.attempts_by_id()
     findings = (
-        find_lost_requests(records, by_id),
+        find_lost_requests(records, by_id, loop_lag),
         find_duplicate_executions(records, limits, by_id),
         find_late_drain_attempts(records, limits),
         find_overloaded_cold_starts(records, limits),
@@ -106,7 +113,9 @@
 # No request lost
 
 
-def find_lost_requests(records: Records, by_id: AttemptsById) -> Findings:
+def find_lost_requests(
+    records: Records, by_id: AttemptsById, loop_lag: LoopLagMonitor | None = None
+) -> Findings:
     """Find requests without exactly one correct answer in time, and unsolicited answers."""
     breaches = [f"{answer.gateway}: an unsolicited answer" for answer in records.unsolicited_answers]
     checked = 0
@@ -117,15 +126,18 @@
         if len(request.answers) != 1:
             breaches.append(f"{request.name}: {len(request.answers)} answers")
         else:
-            breaches += _find_wrong_answer(request, by_id.get(request.id, ()))
+            breaches += _find_wrong_answer(request, by_id.get(request.id, ()), loop_lag)
     return Findings(checked, breaches)
 
 
-def _find_wrong_answer(request: RecordedRequest, attempts: Sequence[Attempt]) -> Iterator[str]:
+def _find_wrong_answer(
+    request: RecordedRequest, attempts: Sequence[Attempt], loop_lag: LoopLagMonitor | None
+) -> Iterator[str]:
     answer = request.answers[0]
     late_s = answer.at - request.sent_at - request.timeout_s
     if answer.at > request.sent_at + request.timeout_s + LIMIT_MARGIN_S:
-        yield f"{request.name}: answered {late_s:.3f} s after its client's timeout"
+        trace = _describe_delays(request, answer, attempts, loop_lag)
+        yield f"{request.name}: answered {late_s:.3f} s after its client's timeout{trace}"
     produced_values = [attempt.value for attempt in attempts if attempt.end_kind == AttemptEnd.ANSWERED]
     if answer.kind == AnswerKind.SERVED and answer.value not in produced_values:
         yield f"{request.name}: served with a value that no host produced for it"
@@ -135,6 +147,31 @@
             yield f"{request.name}: sent to {attempt.host} {late_s:.3f} s after its answer"
 
 
+def _describe_delays(
+    request: RecordedRequest,
+    answer: RecordedAnswer,
+    attempts: Sequence[Attempt],
+    loop_lag: LoopLagMonitor | None,
+) -> str:
+    """Return what is known of the delays of a late answer: those of the harness, and the attempts' times."""
+    parts = [f"{answer.kind}, timeout {request.timeout_s:g} s, sent at {request.sent_at:.3f}"]
+    if not math.isnan(answer.read_at):
+        parts.append(f"read {answer.read_at - answer.at:.3f} s after it arrived")
+    if loop_lag is not None:
+        lag_at_send = loop_lag.longest_between(request.sent_at, request.sent_at + LIMIT_MARGIN_S)
+        lag_at_answer = loop_lag.longest_between(answer.at - LIMIT_MARGIN_S, answer.at)
+        parts.append(
+            f"clients' loop late by {lag_at_send:.3f} s at the start, {lag_at_answer:.3f} s at the end"
+        )
+    for attempt in attempts:
+        arrived_s = attempt.last_byte_at - request.sent_at
+        ended_s = attempt.ended_at - request.sent_at
+        parts.append(
+            f"at {attempt.host} from {arrived_s:.3f} to {ended_s:.3f} s ({attempt.end_kind or 'open'})"
+        )
+    return f" ({'; '.join(parts)})"
+
+
 # No effect twice
 
 
--- a/apigateway/emulators/loaded_fleet.py
+++ b/apigateway/emulators/loaded_fleet.py
@@ -85,6 +85,7 @@
     async def __aenter__(self) -> Self:
         await self.fleet.__aenter__()
         addresses = {g.name: ("127.0.0.1", g.port) for g in self.fleet.gateways}
+        self.fleet.ledger.loop_lag.start()
         self.client = Client(self.fleet.ledger, addresses)
         self.traffic = Traffic(
             self.client,
@@ -102,6 +103,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.client.close()
+        self.fleet.ledger.loop_lag.stop()
         await self.fleet.__aexit__()
 
     def start_traffic(self, seconds: float) -> asyncio.Task[None]:
