Do not open a listener again that a reload opened while hosts were waited for

Callers saw a listener accept connections after a reload had removed it.

Cause: a SIGHUP while hosts are waited for starts the new frontend; the start of the gateway then listened on it once more and lost the first listener. GatewayServer.listen passes over frontends that listen already.

Measured: the new test failed before (the removed listener accepted a connection) and passes now.

--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -177,7 +177,7 @@
             self.endpoint_source.watch(True)
 
     async def listen(self, sockets: Mapping[Address, socket.socket] | None = None) -> int:
-        """Start accepting connections.
+        """Start accepting connections; frontends that a reload has opened before listen already.
 
         Args:
             sockets: Listening sockets by address, used instead of new ones. Each frontend gets a duplicate,
@@ -188,6 +188,8 @@
         """
         self._distribute_limits()
         for frontend in self.frontends:
+            if frontend.is_listening:
+                continue
             sock = sockets.get(frontend.address) if sockets else None
             await frontend.listen(sock.dup() if sock is not None else None)
         return self.frontends[0].port
--- a/apigateway/daemon/interfaces.py
+++ b/apigateway/daemon/interfaces.py
@@ -30,6 +30,10 @@
     def announce_shutdown(self) -> None:
         """Handle the start of a graceful shutdown."""
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+
     async def listen(self, sock: socket.socket | None = None) -> None:
         """Start accepting connections, on the given socket if there is one."""
 
--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -104,6 +104,11 @@
 
     # Listening
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._listener is not None
+
     async def listen(self, sock: socket.socket | None = None) -> None:
         """Listen on the configured address, or on `sock`, a socket that is already listening."""
         if sock is None:
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -84,6 +84,11 @@
 
     # Listening and shutdown, in the order of the calls
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self.server.is_listening
+
     async def listen(self, sock: socket.socket | None = None) -> None:
         """Listen on the configured address, or on `sock`, a socket that is already listening."""
         self.port = await self.server.listen(*self.address, sock)
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -64,6 +64,11 @@
 
     # Listening and shutdown
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the listener is open."""
+        return self._listener is not None and self._listener.is_serving()
+
     async def listen(self, host: str, port: int, sock: socket.socket | None = None) -> int:
         """Listen and return the port.
 
--- a/tests/daemon/test_gateway_process.py
+++ b/tests/daemon/test_gateway_process.py
@@ -6,6 +6,7 @@
 import socket
 import sys
 
+import pytest
 from gateway_harness import (
     VALUE_REPLY,
     BlockedFileRead,
@@ -186,3 +187,29 @@
             file.write(config_text)
         assert b"took effect: daemon.log_lines" in await deployment.wait_for_log_line(process, b"reload: ")
         assert await deployment.send_request(make_command(), port) == VALUE_REPLY
+
+
+# Guards against a listener that a reload opens while hosts are waited for, and that the start opens again.
+@run_on_uvloop
+async def test_listener_added_while_hosts_are_waited_for_is_closed_when_it_is_removed_again(tmp_path):
+    async with LocalDeployment(tmp_path) as deployment, EmulatedDiscovery() as discovery:
+        discovery.silent = True
+        hosts = f'source = "discovery"\ndiscovery = "127.0.0.1:{discovery.port}"'
+        added_port = free_port()
+        deployment.write_settings(hosts=hosts)
+        process = await deployment.start_gateway(ready=False)
+        await deployment.wait_for_log_line(process, b"waiting for an endpoint list")
+        deployment.write_settings([deployment.port, added_port], hosts=hosts)
+        process.send_signal(signal.SIGHUP)
+        assert b"took effect" in await deployment.wait_for_log_line(process, b"reload:")
+        discovery.servers, discovery.silent = [host.entry() for host in deployment.hosts], False
+        await deployment.wait_for_log_line(process, f"listens on 127.0.0.1:{added_port}".encode())
+        reply = await deployment.send_request(make_command(b"r1"), added_port)
+        assert reply.startswith(b"$")
+        deployment.write_settings(hosts=hosts)
+        process.send_signal(signal.SIGHUP)
+        assert b"took effect" in await deployment.wait_for_log_line(process, b"reload:")
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", added_port)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
