Keep the validation of plug-ins from importing modules of the working directory

A security matter: a file wasmtime.py in the working directory was imported by the process that validates plug-ins, in place of the library.

Cause: python -m puts the working directory first on the path. The process is started with -P, and empty entries of PYTHONPATH, which mean the same, are left out.

Measured: the new test failed before (the file ran, exit code 1) and passes.

--- a/apigateway/plugins/isolated_validation.py
+++ b/apigateway/plugins/isolated_validation.py
@@ -78,7 +78,8 @@
 def _run_process(jobs: Sequence[ValidationJob], timeout: float) -> ProcessResult:
     try:
         completed = subprocess.run(
-            [sys.executable, "-m", "apigateway.plugins.isolated_validation"],
+            # -P: modules of the working directory, which a plug-in's author may write to, are not imported.
+            [sys.executable, "-P", "-m", "apigateway.plugins.isolated_validation"],
             input=b"".join(map(pickle.dumps, jobs)),
             capture_output=True,
             timeout=timeout,
@@ -98,9 +99,8 @@
 def _child_environment() -> dict[str, str]:
     """Return environment variables with which a child process can import this package."""
     paths = [str(_IMPORT_ROOT)]
-    inherited = os.environ.get("PYTHONPATH")
-    if inherited:
-        paths.append(inherited)
+    # An empty entry would stand for the working directory.
+    paths += [path for path in os.environ.get("PYTHONPATH", "").split(os.pathsep) if path]
     return os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
 
 
--- a/tests/plugins/test_isolated_validation.py
+++ b/tests/plugins/test_isolated_validation.py
@@ -60,3 +60,15 @@
         [ValidationJob("p", module(says("") + body).encode(), {}, Budget(), 0, gateway_settings())]
     )
     assert reason and PROCESS_ENDED_REASON not in reason
+
+
+# Guards against code in the working directory that the validating process would import and run.
+def test_modules_of_the_working_directory_are_not_imported(tmp_path, monkeypatch):
+    marker = tmp_path / "imported"
+    for name in ("wasmtime", "msgspec"):
+        (tmp_path / f"{name}.py").write_text(f"open({str(marker)!r}, 'w')\nraise ImportError\n")
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setenv("PYTHONPATH", os.pathsep)
+    job = ValidationJob("p", module(says("tag a 1")).encode(), {}, Budget(), 0, gateway_settings())
+    assert validate_isolated([job]) == [""]
+    assert not marker.exists()
