Let a reload of max_waiting reach the calls that wait for a connection

Callers saw requests decided without the outer rate limit service after max_waiting had been raised.

Cause: update_config set the circuit breaker's limit, not the channel's.

--- a/apigateway/external_ratelimit/channel.py
+++ b/apigateway/external_ratelimit/channel.py
@@ -29,6 +29,7 @@
 
     Attributes:
         connect_failures: Number of failed connection attempts.
+        max_waiting_calls: The maximum number of calls that wait for a connection or a stream.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         self._address = address
         self._ssl_context = ssl_context
         self._server_name = server_name
-        self._max_waiting_calls = max_waiting_calls
+        self.max_waiting_calls = max_waiting_calls
         self._waiting_calls: dict[PendingCall, None] = {}  # used as an ordered set
         self._current_connection: GrpcConnection | None = None  # used for new calls
         self._connections: set[GrpcConnection] = set()  # open ones, including those that are draining
@@ -70,7 +71,7 @@
         loop = asyncio.get_running_loop()
         call = PendingCall(path, message, monotonic() + timeout, on_response)
         call.deadline_timer = loop.call_later(timeout, self._on_deadline, call)
-        if self._is_closed or len(self._waiting_calls) >= self._max_waiting_calls:
+        if self._is_closed or len(self._waiting_calls) >= self.max_waiting_calls:
             status = GrpcStatus.UNAVAILABLE if self._is_closed else GrpcStatus.RESOURCE_EXHAUSTED
             loop.call_soon(self._end, call, status, "channel is closed or too many calls are waiting", b"")
             return call
--- a/apigateway/external_ratelimit/limiter.py
+++ b/apigateway/external_ratelimit/limiter.py
@@ -107,6 +107,7 @@
         previous = self.config
         self.config = config
         self.breaker.update_settings(config.checks)
+        self.channel.max_waiting_calls = config.checks.max_outstanding
         if not config.has_same_endpoint(previous):
             replaced = self.channel
             self.channel = _create_channel(config)
--- a/tests/external_ratelimit/test_limiter.py
+++ b/tests/external_ratelimit/test_limiter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 from gateway_harness import (
@@ -295,3 +296,17 @@
         assert not harness.server.core.in_flight
         service.script.set_steps()
         await send_until_state(harness, BreakerState.CLOSED)
+
+
+# Guards against a reload that raises max_waiting for the circuit breaker but not for the channel.
+@run_on_uvloop
+async def test_reload_of_max_waiting_applies_to_calls_that_wait_for_a_connection(tmp_path):
+    async with (
+        EmulatedRateLimitService() as service,
+        gateway_with_limiter(tmp_path, service, max_outstanding=1) as harness,
+    ):
+        config = harness.limiter.config
+        checks = replace(config.checks, max_outstanding=3)
+        harness.limiter.update_config(replace(config, checks=checks))
+        await asyncio.gather(*(send_request(harness) for _ in range(3)))
+        assert harness.limiter.counts == {"questions": 3, "yes": 3}
