Keep child processes from inheriting the sockets of a hand-over

A child process could have held the gateway's port and lock after its end.

Cause: descriptors received over a Unix socket are inheritable. They are made not inheritable where they are received.

--- a/apigateway/daemon/handover_channel.py
+++ b/apigateway/daemon/handover_channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import socket
 
 from apigateway.daemon.handover import HandoverError, WireMessage
@@ -74,6 +75,8 @@
             raise _timed_out(timeout_s) from err
         except OSError as err:
             raise _disconnected(err) from err
+        for descriptor in descriptors:  # received ones would be inherited by child processes
+            os.set_inheritable(descriptor, False)
         self._buffer += data
         return await self.receive(timeout_s), list(descriptors)
 
