Log only the workers that end late, not all of them

Operators saw "did not exit in time: killed" for every worker if one was late.

Cause: wait_until_exited did not look whether a worker had ended already.

--- a/apigateway/daemon/worker_pool.py
+++ b/apigateway/daemon/worker_pool.py
@@ -207,6 +207,8 @@
         if not late:
             return True
         for worker in self.workers:
+            if worker.process is None:
+                continue
             log.error("worker %d did not exit in time: killed", worker.number)
             worker.send_signal(signal.SIGKILL)
         await asyncio.wait(late)
