--- a/apigateway/cli/ratelimit_ask.py
+++ b/apigateway/cli/ratelimit_ask.py
@@ -162,6 +162,11 @@
     return "\n".join(lines)
 
 
+def _unit_name(unit: int) -> str:
+    """Return the name of a time unit; its number if the service is newer and knows more units."""
+    return _UNIT_NAMES[unit] if 0 <= unit < len(_UNIT_NAMES) else f"unit {unit}"
+
+
 def _format_descriptor_status(entries: _Descriptor, status: Any) -> str:
     descriptor = ", ".join(f"{key}={value}" for key, value in entries)
     text = f"  {descriptor}: {_CODE_NAMES.get(status.code, status.code)}"
@@ -170,6 +175,6 @@
     limit = status.current_limit
     reset_s = status.duration_until_reset.ToNanoseconds() / _NANOSECONDS_PER_SECOND
     return text + (
-        f"; {limit.requests_per_unit} a {_UNIT_NAMES[limit.unit]} ({limit.name}), "
+        f"; {limit.requests_per_unit} a {_unit_name(limit.unit)} ({limit.name}), "
         f"{status.limit_remaining} left, window turns in {reset_s:.1f} s"
     )
