Keep workers from importing modules of the working directory

A security matter, the same as in the validation of plug-ins: a supervisor started its workers by python -m, which puts the working directory first on the path, also where the supervisor came from the installed command.

Change: both commands and their environment are made in child_python.py (-P, no empty entry in PYTHONPATH).

--- a/apigateway/daemon/worker_pool.py
+++ b/apigateway/daemon/worker_pool.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import logging
-import os
 import signal
-import sys
 from collections.abc import Callable
 from typing import NamedTuple
 
+from apigateway.child_python import child_command, child_environment
 from apigateway.daemon.settings import Settings
 from apigateway.daemon.worker_lifecycle import RestartPolicy
 from apigateway.daemon.worker_process import WorkerProcess, resident_bytes
@@ -101,9 +100,7 @@
         worker.is_terminating = False
         worker.lifecycle.on_started(self._loop.time())
         worker.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "apigateway",
+            *child_command("apigateway"),
             "serve",
             self._path,
             *(["--take-over"] if take_over else []),
@@ -116,7 +113,9 @@
 
     def _environment_of(self, worker: WorkerProcess) -> dict[str, str]:
         resources = self._resources
-        environment = {name: value for name, value in os.environ.items() if name not in SUPERVISOR_VARIABLES}
+        environment = child_environment()
+        for name in SUPERVISOR_VARIABLES:
+            environment.pop(name, None)
         environment |= worker_environment(worker.number, self._count, resources.listeners, resources.regions)
         environment["NOTIFY_SOCKET"] = worker.notify_path
         environment["WATCHDOG_USEC"] = str(int(self._policy.watchdog_timeout_s * MICROSECONDS_PER_SECOND))
--- a/apigateway/plugins/isolated_validation.py
+++ b/apigateway/plugins/isolated_validation.py
@@ -7,16 +7,15 @@
 from __future__ import annotations
 
 import io
-import os
 import pickle
 import subprocess
 import sys
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any, NamedTuple
 
 from apigateway import messages
+from apigateway.child_python import child_command, child_environment
 from apigateway.plugins.interfaces import Budget, PluginError
 
 DEFAULT_TIMEOUT_S = 20.0  # of a process, which validates all modules of a load unless one ends it
@@ -24,7 +23,6 @@
 
 _VALID = "good"  # output line for a valid module; otherwise the line is the reason
 _UNKNOWN_REASON = "no reason given"  # in place of an empty reason, which would mean that the module is valid
-_IMPORT_ROOT = Path(__file__).resolve().parents[2]  # folder from which the package is imported
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,12 +76,11 @@
 def _run_process(jobs: Sequence[ValidationJob], timeout: float) -> ProcessResult:
     try:
         completed = subprocess.run(
-            # -P: modules of the working directory, which a plug-in's author may write to, are not imported.
-            [sys.executable, "-P", "-m", "apigateway.plugins.isolated_validation"],
+            child_command("apigateway.plugins.isolated_validation"),
             input=b"".join(map(pickle.dumps, jobs)),
             capture_output=True,
             timeout=timeout,
-            env=_child_environment(),
+            env=child_environment(),
             check=False,  # the exit code is part of the result
         )
         output = completed.stdout
@@ -96,14 +93,6 @@
     return ProcessResult(reasons, process_end)
 
 
-def _child_environment() -> dict[str, str]:
-    """Return environment variables with which a child process can import this package."""
-    paths = [str(_IMPORT_ROOT)]
-    # An empty entry would stand for the working directory.
-    paths += [path for path in os.environ.get("PYTHONPATH", "").split(os.pathsep) if path]
-    return os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
-
-
 def main() -> None:
     """Validate the pickled jobs on stdin; write one line for each: `good`, or why it cannot be used."""
     stream = io.BytesIO(sys.stdin.buffer.read())
