Let no test compare a clock with a bound

Need: four tests did, each with over half a second to spare.

Three of them (a silent host, a rejection over quota, a module that says nothing) wait for the reply within the client's own timeout now, which is the same bound as an event: 2.3, 3.0 and 2.3 s as before. The fourth held the CPU time of a malformed reply under 0.5 s, for hiredis needs over a second for some messages that are not complete; it records now that hiredis is given no incomplete message, which is the cause itself.

--- a/tests/daemon/test_gateway_server.py
+++ b/tests/daemon/test_gateway_server.py
@@ -4,7 +4,6 @@
 import itertools
 import logging
 import socket
-import time
 
 import pytest
 from gateway_harness import (
@@ -39,11 +38,9 @@
 async def test_request_when_the_host_is_silent_then_fails_before_the_client_gives_up(tmp_path, monkeypatch):
     monkeypatch.setattr(deadlines, "RESPONSE_MARGIN_S", 2.0)  # large enough for a busy machine
     async with EmulatedHost(answer=None) as host, GatewayHarness(host, path=tmp_path) as harness:
-        started_at = time.monotonic()
-        assert (
-            await harness.send_command(make_write_command(service_class=b"note", wait_ms=2300))
-        ).startswith(b"-ERR")  # not a rejection, since it may have been executed
-        assert time.monotonic() - started_at < 2.3
+        async with asyncio.timeout(2.3):  # when the client gives up
+            reply = await harness.send_command(make_write_command(service_class=b"note", wait_ms=2300))
+        assert reply.startswith(b"-ERR")  # not a rejection, since it may have been executed
         assert len(host.commands) == 1
 
 
@@ -51,14 +48,13 @@
 async def test_request_when_over_quota_then_is_rejected_at_once_with_retry_after(tmp_path):
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
         small_plan_fields, replies = make_fields(t="small"), []
-        started_at = time.monotonic()
-        for number in range(4):
-            replies.append(
-                await harness.send_command(make_command(b"r%d" % number, fields=small_plan_fields))
-            )
+        async with asyncio.timeout(3.0):  # when the first client would give up
+            for number in range(4):
+                replies.append(
+                    await harness.send_command(make_command(b"r%d" % number, fields=small_plan_fields))
+                )
         assert replies[0] == VALUE_REPLY and replies[-1].startswith(b"-BUSY ")
         assert 0 < int(replies[-1].split()[1]) <= 2000
-        assert time.monotonic() - started_at < 3.0
 
 
 @run_on_uvloop
@@ -91,9 +87,9 @@
                 return []
 
         harness.server.core.module = SilentModule()
-        started_at = time.monotonic()
-        assert await harness.send_command(make_command(fields=make_fields(d="2300"))) == b"-ERR failed\r\n"
-        assert time.monotonic() - started_at < 2.3
+        async with asyncio.timeout(2.3):  # when the client gives up
+            reply = await harness.send_command(make_command(fields=make_fields(d="2300")))
+        assert reply == b"-ERR failed\r\n"
 
 
 @run_on_uvloop
--- a/tests/upstream/test_upstream.py
+++ b/tests/upstream/test_upstream.py
@@ -6,7 +6,9 @@
 import socket
 import struct
 import time
+from types import SimpleNamespace
 
+import hiredis
 import pytest
 from gateway_harness import (
     VALUE,
@@ -22,11 +24,33 @@
 
 from apigateway import messages
 from apigateway.upstream import attempt as attempt_module
-from apigateway.upstream import connection_pool, upstream_connections
+from apigateway.upstream import connection_pool, framing, upstream_connections
 from apigateway.upstream.attempt import Attempt
 from apigateway.upstream.connection import Connection
 
 
+class CheckedReader:
+    """hiredis' reader, which records the messages that it was given before they were complete.
+
+    For some of these, such as an array of a thousand million parts, it needs over a second of CPU.
+    """
+
+    def __init__(self, incomplete_messages):
+        self.reader = hiredis.Reader()
+        self.data = b""
+        self.incomplete_messages = incomplete_messages
+
+    def feed(self, data):
+        self.data = bytes(data)
+        self.reader.feed(data)
+
+    def gets(self):
+        message = self.reader.gets()
+        if message is False:
+            self.incomplete_messages.append(self.data)
+        return message
+
+
 @run_on_uvloop
 async def test_load_report_when_malformed_then_is_ignored(tmp_path):
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
@@ -71,11 +95,15 @@
     ],
 )
 @run_on_uvloop
-async def test_reply_when_malformed_then_its_value_is_not_served(malformed_reply, tmp_path):
+async def test_reply_when_malformed_then_its_value_is_not_served(malformed_reply, tmp_path, monkeypatch):
+    incomplete_messages = []
+    checked_hiredis = SimpleNamespace(
+        Reader=lambda: CheckedReader(incomplete_messages), ProtocolError=hiredis.ProtocolError
+    )
+    monkeypatch.setattr(framing, "hiredis", checked_hiredis)
     async with EmulatedHost(malformed_reply) as host, GatewayHarness(host, path=tmp_path) as harness:
-        started_at = time.process_time()
         assert (await harness.send_command(make_write_command(service_class=b"note"))).startswith(b"-ERR")
-        assert time.process_time() - started_at < 0.5  # hiredis needed over a second of CPU for some replies
+        assert incomplete_messages == []
         host.answer = VALUE
         assert await harness.send_command(make_command(b"r2")) == VALUE_REPLY
         assert len(host.writers) == 2  # the connection with the malformed reply is closed
