End a gateway quietly that gets SIGINT while it starts

Operators saw a KeyboardInterrupt's stack and exit code -2, where SIGTERM gives exit code 0.

Cause: signals before there is a gateway were handled for SIGHUP and SIGTERM only.

The new test failed before and passes now.

--- a/apigateway/daemon/pending_signals.py
+++ b/apigateway/daemon/pending_signals.py
@@ -1,8 +1,8 @@
 """Handle signals that arrive before the gateway exists: during imports and while the settings are read.
 
 By default these signals end the process, which for a SIGHUP would be a crash. The file to reload may have
-been read already, so the SIGHUP is recorded until there is a gateway that can reload it. A SIGTERM ends the
-process immediately, since no request has been accepted yet. This module imports nothing from the package,
+been read already, so the SIGHUP is recorded until there is a gateway that can reload it. A SIGTERM or SIGINT
+ends the process immediately, since no request has been accepted yet. This module imports nothing from the package,
 since imports take up most of the start time.
 """
 
@@ -16,12 +16,13 @@
 
 
 def install_handlers() -> None:
-    """Handle SIGHUP and SIGTERM until the event loop's own handlers replace these.
+    """Handle SIGHUP, SIGTERM and SIGINT until the event loop's own handlers replace these.
 
     Call this before any slow import.
     """
     signal.signal(signal.SIGHUP, record_reload)
     signal.signal(signal.SIGTERM, _exit_immediately)
+    signal.signal(signal.SIGINT, _exit_immediately)  # Python's own would raise within an import
 
 
 def record_reload(signal_number: int = signal.SIGHUP, frame: FrameType | None = None) -> None:
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -186,6 +186,20 @@
     assert await process.stderr.read() == b""
 
 
+# Guards against a KeyboardInterrupt within the start: a stack in the log, and an exit that counts as a crash.
+@run_on_uvloop
+async def test_sigint_before_the_gateway_exists_then_exits(tmp_path):
+    config = tmp_path / "config.json"
+    blocked_read = BlockedFileRead(config)
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+    )
+    async with blocked_read:
+        process.send_signal(signal.SIGINT)
+        assert await process.wait() == 0
+    assert await process.stderr.read() == b""
+
+
 @run_on_uvloop
 async def test_start_after_a_kill_then_serves_at_the_same_address(tmp_path):
     async with EmulatedHost() as host, EmulatedCounter() as counter, EmulatedDiscovery() as discovery:
