Close the listening sockets of serve when its frontends stop accepting

Callers saw a new connection to a stopping gateway established, their request never answered, and the connection reset when the process ended, up to finish seconds later.

Cause: the process keeps the listening sockets for a hand-over while its frontends listen on duplicates. After the linger only the duplicates were closed, so the kernel went on establishing connections.

Change: without a successor the originals are closed in the same turn, after the queue has been accepted; a supervisor closes its own when it stops its workers. A later successor binds the addresses itself.

By a probe 266 connections in the 2.9 s after the linger were established and never accepted. The new test failed before with one process and with two workers and passes now. Ruled out on the way: a signal between the end of the event loop and that of the process has no effect (six cases, two programs), since uvloop leaves its handlers in place.

--- a/apigateway/daemon/gateway_process.py
+++ b/apigateway/daemon/gateway_process.py
@@ -318,16 +318,21 @@
     async def _stop_without_successor(self, server: GatewayServer) -> None:
         if self._registration is not None:
             await self._registration.mark_down()
-        await server.stop()
+        await server.stop(close_sockets=self._close_sockets)
         if self._registration is not None:
             await self._registration.deregister()
 
+    def _close_sockets(self) -> None:
+        """Close the listening sockets; a successor that connects from now on binds its own."""
+        for sock in self._sockets.values():
+            sock.close()
+        self._sockets.clear()
+
     def _close(self) -> None:
         """Close the process's sockets and lock; also called after a failed start."""
         if self._predecessor is not None:
             self._predecessor.close()
-        for sock in self._sockets.values():
-            sock.close()
+        self._close_sockets()
         if self._lock is not None:
             self._lock.close()
         self._notifier.close()
--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -10,7 +10,7 @@
 import logging
 import socket
 import time
-from collections.abc import Collection, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -331,11 +331,14 @@
 
     # Shutdown
 
-    async def stop(self, linger_s: float | None = None) -> None:
+    async def stop(
+        self, linger_s: float | None = None, close_sockets: Callable[[], None] | None = None
+    ) -> None:
         """Keep accepting connections for `linger_s`, complete the accepted requests, and close everything.
 
         Args:
             linger_s: How long connections are still accepted; None to use the configured time.
+            close_sockets: Closes other descriptors of the frontends' listeners; called when these are closed.
         """
         started_at = time.monotonic()
         self.core.is_draining = True
@@ -343,7 +346,9 @@
             frontend.announce_shutdown()
         await asyncio.sleep(self.config.linger if linger_s is None else linger_s)
         deadline = started_at + self.config.shutdown_timeout
-        await complete_requests(self.core, self.frontends, self.config.grpc_listeners, deadline)
+        await complete_requests(
+            self.core, self.frontends, self.config.grpc_listeners, deadline, close_sockets
+        )
         await self._close()
 
     async def _close(self) -> None:
--- a/apigateway/daemon/graceful_shutdown.py
+++ b/apigateway/daemon/graceful_shutdown.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import TYPE_CHECKING
 
 from apigateway.core.request_lifecycle import RequestDispatcher
@@ -29,17 +29,26 @@
 RESP_SETTLE_S = 0.25
 
 
-async def close_listeners(frontends: Sequence[Frontend]) -> None:
+async def close_listeners(
+    frontends: Sequence[Frontend], close_sockets: Callable[[], None] | None = None
+) -> None:
     """Close listeners and idle connections, after accepting the connections in the listeners' queues.
 
     The kernel has already established those connections: closing the listener would reset them and lose the
     requests that they carry.
+
+    Args:
+        frontends: Frontends whose listeners are closed.
+        close_sockets: Closes other descriptors of the same listeners. While one is open, the kernel
+            establishes further connections, which nobody accepts.
     """
     deadline = time.monotonic() + MAX_ACCEPT_WAIT_S
     while any(frontend.has_pending_connections for frontend in frontends) and time.monotonic() < deadline:
         await asyncio.sleep(READ_INTERVAL_S)
     for frontend in frontends:
         frontend.start_draining()
+    if close_sockets is not None:
+        close_sockets()
 
 
 async def retire_frontend(
@@ -77,6 +86,7 @@
     frontends: Sequence[Frontend],
     grpc_addresses: Collection[Address],
     deadline: float,
+    close_sockets: Callable[[], None] | None = None,
 ) -> None:
     """Close the frontends' listeners, and answer all accepted requests.
 
@@ -85,8 +95,9 @@
         frontends: All frontends.
         grpc_addresses: Addresses of the frontends that speak gRPC.
         deadline: When this must end, by `time.monotonic`.
+        close_sockets: See `close_listeners`.
     """
-    await close_listeners(frontends)
+    await close_listeners(frontends, close_sockets)
     await asyncio.sleep(READ_INTERVAL_S)
     await _handle_deferred_commands(core, deadline)
     remaining = max(0.0, deadline - time.monotonic())
--- a/apigateway/daemon/pending_signals.py
+++ b/apigateway/daemon/pending_signals.py
@@ -2,8 +2,8 @@
 
 By default these signals end the process, which for a SIGHUP would be a crash. The file to reload may have
 been read already, so the SIGHUP is recorded until there is a gateway that can reload it. A SIGTERM or SIGINT
-ends the process immediately, since no request has been accepted yet. This module imports nothing from the package,
-since imports take up most of the start time.
+ends the process immediately, since no request has been accepted yet. This module imports nothing from the
+package, since imports take up most of the start time.
 """
 
 from __future__ import annotations
--- a/apigateway/daemon/supervisor.py
+++ b/apigateway/daemon/supervisor.py
@@ -154,14 +154,22 @@
         )
         self._notifier.ready(f"{self._count} workers serve", is_main_process=self._take_over)
 
+    def _close_sockets(self) -> None:
+        """Close the listening sockets of this process.
+
+        While it holds them, the kernel establishes connections that no worker accepts any more.
+        """
+        for sock in self._sockets.values():
+            sock.close()
+        self._sockets.clear()
+
     def _release_resources(self, folder: str) -> None:
         if self._predecessor is not None:
             self._predecessor.close()
         if self._pool is not None:
             self._pool.close()
         shutil.rmtree(folder, ignore_errors=True)
-        for sock in self._sockets.values():
-            sock.close()
+        self._close_sockets()
         if self._in_flight_regions is not None:
             os.close(self._in_flight_regions.descriptor)
         if self._lock is not None:
@@ -303,6 +311,7 @@
     async def _stop_workers(self, pool: WorkerPool) -> bool:
         """Stop all workers, and kill those that exceed the time limit; return whether none did."""
         if self._predecessor is None or not self._predecessor.is_completed:
+            self._close_sockets()
             pool.stop()
         # Otherwise each worker was replaced by its successor and exits by itself.
         return await pool.wait_until_exited()
--- a/tests/daemon/test_gateway_process.py
+++ b/tests/daemon/test_gateway_process.py
@@ -16,6 +16,7 @@
     make_command,
     make_configuration,
     make_host_entry,
+    read_reply,
     run_on_uvloop,
 )
 from local_deployment import GATEWAY_COMMAND, ROOT, LocalDeployment, free_port
@@ -213,3 +214,33 @@
             await asyncio.open_connection("127.0.0.1", added_port)
         process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
+
+
+# Guards against connections that nobody accepts: the process kept the listening socket until its end.
+@pytest.mark.parametrize("workers", ["1", "2"])
+@run_on_uvloop
+async def test_connection_after_the_linger_is_refused_and_not_left_waiting(workers, tmp_path):
+    async with LocalDeployment(tmp_path, answer=lambda: None) as deployment:
+        deployment.write_settings(daemon="linger = 0.1\nfinish = 4.0")
+        process = await deployment.start_gateway("--workers", workers, ready=False)
+        while True:  # until all workers serve
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", deployment.port)
+                break
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.01)
+        writer.write(make_command(b"held"))  # keeps the gateway from ending
+        while not any(host.commands for host in deployment.hosts):
+            await asyncio.sleep(0.01)
+        held_reply = asyncio.ensure_future(read_reply(reader))
+        process.send_signal(signal.SIGTERM)
+        writers = []
+        with pytest.raises(ConnectionRefusedError):
+            while not held_reply.done():
+                writers.append((await asyncio.open_connection("127.0.0.1", deployment.port))[1])
+                await asyncio.sleep(0.01)
+        assert not held_reply.done()
+        for accepted_writer in writers:
+            accepted_writer.close()
+        assert (await held_reply).startswith(b"-")
+        assert await process.wait() == 0
