--- a/apigateway/emulators/discovery.py
+++ b/apigateway/emulators/discovery.py
@@ -71,6 +71,7 @@
         self.changed = asyncio.Event()
         self.silenced_count = 0
         self.port = 0
+        self._never = asyncio.Event()  # held here, so that calls that wait for it are not collected
 
     def apply_changes(self, entries: list[Entry]) -> None:
         """Apply changed entries to the list and answer the open watches; without entries, with no change.
@@ -96,7 +97,7 @@
         """Answer a call for the complete list, or a watch from an index on."""
         self.calls.put_nowait(dict(request.query))
         if self.silent:
-            await asyncio.Event().wait()
+            await self._never.wait()
         if self.capacity is not None:
             now = asyncio.get_running_loop().time()
             ready = self.capacity.admit(now)
@@ -125,7 +126,7 @@
                     await self.changed.wait()
                     await asyncio.sleep(self.change_delay_s)
             if self.silenced_count > silenced:
-                await asyncio.Event().wait()
+                await self._never.wait()
         changed = [entry for version, entries in self.changes if version > index for entry in entries]
         return self.respond({"version": self.version, "full": False, "servers": changed})
 
--- a/apigateway/emulators/ledger.py
+++ b/apigateway/emulators/ledger.py
@@ -90,6 +90,14 @@
         """Record that a request's connection ended without an answer."""
         self.requests[id].disconnected_at = self.clock()
 
+    def record_client_left(self, id: str) -> None:
+        """Record that a request's client has left: it needs no answer and must not be forwarded any more."""
+        self.requests[id].left_at = self.clock()
+
+    def excuse_unforwarded(self, id: str) -> None:
+        """Record that a request needs no answer unless it was forwarded: it crossed its connection's end."""
+        self.requests[id].is_excused_unforwarded = True
+
     def record_unsolicited_answer(self, gateway: str) -> None:
         """Record an answer on a connection without an open request."""
         self.unsolicited_answers.append(UnsolicitedAnswer(self.clock(), gateway))
--- a/apigateway/emulators/ledger_records.py
+++ b/apigateway/emulators/ledger_records.py
@@ -106,6 +106,8 @@
         sent_at: When its last byte was written.
         timeout_s: How long its client waits.
         disconnected_at: When its connection ended without an answer; NaN if it has not.
+        left_at: When its client left; infinite if it has not.
+        is_excused_unforwarded: Whether it needs no answer if it was not forwarded.
     """
 
     id: str
@@ -118,6 +120,8 @@
     units: float
     answers: list[RecordedAnswer] = field(default_factory=list)
     disconnected_at: float = math.nan
+    left_at: float = math.inf
+    is_excused_unforwarded: bool = False
 
     @property
     def name(self) -> str:
@@ -241,12 +245,14 @@
         return by_id
 
     def is_excused(self, request: RecordedRequest) -> bool:
-        """Return whether a request needs no answer because its gateway was killed.
+        """Return whether a request needs no answer: its client has left, or its gateway was killed.
 
-        That is so if the gateway was killed while it handled the request, or was not running when the request
-        was sent. A client may write to a connection before it learns that the connection has ended, above all
-        when many gateways are killed at once.
+        The latter is so if the gateway was killed while it handled the request, or was not running when the
+        request was sent. A client may write to a connection before it learns that the connection has ended,
+        above all when many gateways are killed at once.
         """
+        if request.left_at < math.inf:
+            return True
         until = (
             request.sent_at + request.timeout_s
             if math.isnan(request.disconnected_at)
--- a/apigateway/emulators/ledger_rules.py
+++ b/apigateway/emulators/ledger_rules.py
@@ -30,6 +30,7 @@
 from apigateway.emulators.loop_lag import LoopLagMonitor
 
 CEILING_MARGIN_S = 0.15  # seconds of a ceiling's rate, added to its slack on sockets
+ABSENT_CLIENT_LIMIT_S = 0.1  # after a client's close, in which an attempt may still begin
 ROUNDING = 1e-9  # tolerance for sums of work and of units
 RULES = ("no request lost", "no effect twice", "drains kept", "cold hosts", "ceilings kept")
 
@@ -120,16 +121,27 @@
     breaches = [f"{answer.gateway}: an unsolicited answer" for answer in records.unsolicited_answers]
     checked = 0
     for request in records.requests.values():
+        attempts = by_id.get(request.id, ())
+        breaches += _find_attempts_for_absent_client(request, attempts)
         if not request.answers and records.is_excused(request):
             continue
+        if not request.answers and request.is_excused_unforwarded and not attempts:
+            continue
         checked += 1
         if len(request.answers) != 1:
             breaches.append(f"{request.name}: {len(request.answers)} answers")
         else:
-            breaches += _find_wrong_answer(request, by_id.get(request.id, ()), loop_lag)
+            breaches += _find_wrong_answer(request, attempts, loop_lag)
     return Findings(checked, breaches)
 
 
+def _find_attempts_for_absent_client(request: RecordedRequest, attempts: Sequence[Attempt]) -> Iterator[str]:
+    for attempt in attempts:
+        late_s = attempt.first_byte_at - request.left_at
+        if late_s > ABSENT_CLIENT_LIMIT_S + LIMIT_MARGIN_S:
+            yield f"{request.name}: sent to {attempt.host} {late_s:.3f} s after its client left"
+
+
 def _find_wrong_answer(
     request: RecordedRequest, attempts: Sequence[Attempt], loop_lag: LoopLagMonitor | None
 ) -> Iterator[str]:
