Read replies with their time of arrival in one place

Need: the emulated clients and the soak's connections read their sockets in the same way, line by line.

ReplyReader in emulators/timestamped_socket.py reads replies for both.

--- a/apigateway/emulators/clients.py
+++ b/apigateway/emulators/clients.py
@@ -14,11 +14,9 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-import hiredis
-
 from apigateway.emulators.client_messages import Answer, ClientRequest, ResultKind, parse_answer
 from apigateway.emulators.ledger import Ledger
-from apigateway.emulators.timestamped_socket import enable_timestamps, receive
+from apigateway.emulators.timestamped_socket import ReplyReader
 
 __all__ = [
     "Address",
@@ -59,28 +57,11 @@
     def __init__(self, client: Client, gateway: str, sock: socket.socket) -> None:
         self._client = client
         self._socket = sock
-        self._parser = hiredis.Reader(notEnoughData=...)
         self._pending: asyncio.Future[ReceivedAnswer] | None = None
         self.gateway = gateway
         self.answer_count = 0
         self.is_open = True
-        enable_timestamps(sock)
-        asyncio.get_running_loop().add_reader(sock, self._on_readable)
-
-    def _on_readable(self) -> None:
-        try:
-            received = receive(self._socket)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            self.close()
-            return
-        if not received.data:
-            self.close()
-            return
-        self._parser.feed(received.data)
-        while (reply := self._parser.gets()) is not ...:
-            self._on_reply(reply, received.arrived_at)
+        self._reader = ReplyReader(sock, self._on_reply, self.close)
 
     def _on_reply(self, reply: Any, arrived_at: float) -> None:
         """Complete the open request with its reply; record a reply without a request in the ledger."""
@@ -95,7 +76,7 @@
         if not self.is_open:
             return
         self.is_open = False
-        asyncio.get_running_loop().remove_reader(self._socket)
+        self._reader.stop()
         self._socket.close()
         self._client.remove_idle(self)
         if self._pending is not None and not self._pending.done():
--- a/apigateway/tools/shutdown_soak/connection.py
+++ b/apigateway/tools/shutdown_soak/connection.py
@@ -9,12 +9,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import hiredis
-
 from apigateway.emulators.client_messages import ClientRequest, parse_answer
 from apigateway.emulators.ledger import Ledger
 from apigateway.emulators.ledger_records import LIMIT_MARGIN_S
-from apigateway.emulators.timestamped_socket import enable_timestamps, receive
+from apigateway.emulators.timestamped_socket import ReplyReader
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -48,10 +46,8 @@
         self._socket = sock
         self._ledger = ledger
         self._on_ended = on_ended
-        self._parser = hiredis.Reader(notEnoughData=...)
         self._last_answer_at = 0.0
-        self._loop = asyncio.get_running_loop()
-        self._loop.add_reader(sock, self._on_readable)
+        self._reader = ReplyReader(sock, self._on_reply, self._end)
 
     @classmethod
     async def open(
@@ -61,7 +57,6 @@
         sock = socket.socket()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        enable_timestamps(sock)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
@@ -115,21 +110,6 @@
             self._ledger.record_client_left(open_request.request.id)
         self.open_requests.clear()
 
-    def _on_readable(self) -> None:
-        try:
-            received = receive(self._socket)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            self._end()
-            return
-        if not received.data:
-            self._end()
-            return
-        self._parser.feed(received.data)
-        while (reply := self._parser.gets()) is not ...:
-            self._on_reply(reply, received.arrived_at)
-
     def _on_reply(self, reply: object, arrived_at: float) -> None:
         if not self.open_requests:
             self.other_replies += 1
@@ -158,5 +138,5 @@
             return
         self.ended.set()
         self.answered.set()
-        self._loop.remove_reader(self._socket)
+        self._reader.stop()
         self._socket.close()
