--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,10 @@
-"""Options of the tests that play random events."""
+"""Settings of all tests, and options of those that play random events."""
+
+import os
+
+# Tests start gateways while grpcio's threads are at work. Its handlers of fork() are of no use there, since the
+# child runs another program at once. Set before grpcio is imported.
+os.environ.setdefault("GRPC_ENABLE_FORK_SUPPORT", "0")
 
 
 def pytest_addoption(parser):
--- a/tests/local_deployment.py
+++ b/tests/local_deployment.py
@@ -117,7 +117,9 @@
             self.logs[process].append(line)
             if text in line:
                 return line
-        raise AssertionError(b"".join([b"ended without ", text, b":\n", *self.logs[process]]).decode())
+        code = await process.wait()
+        log = b"".join(self.logs[process]).decode()
+        raise AssertionError(f"ended with exit code {code} and without {text.decode()}:\n{log}")
 
     async def send_request(self, command, port=None):
         """Send a RESP command on a connection of its own and return the reply."""
