--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 import os
 
-# Tests start gateways while grpcio's threads are at work. Its handlers of fork() are of no use there, since the
-# child runs another program at once. Set before grpcio is imported.
+# Tests start gateways while grpcio's threads are at work. Its handlers of fork() are of no use there, since
+# the child runs another program at once. Set before grpcio is imported.
 os.environ.setdefault("GRPC_ENABLE_FORK_SUPPORT", "0")
 
 
