--- a/apigateway/emulators/ledger_rules.py
+++ b/apigateway/emulators/ledger_rules.py
@@ -122,7 +122,7 @@
     checked = 0
     for request in records.requests.values():
         attempts = by_id.get(request.id, ())
-        breaches += _find_attempts_for_absent_client(request, attempts)
+        breaches += _find_attempts_for_absent_client(request, attempts, loop_lag)
         if not request.answers and records.is_excused(request):
             continue
         if not request.answers and request.is_excused_unforwarded and not attempts:
@@ -135,9 +135,13 @@
     return Findings(checked, breaches)
 
 
-def _find_attempts_for_absent_client(request: RecordedRequest, attempts: Sequence[Attempt]) -> Iterator[str]:
+def _find_attempts_for_absent_client(
+    request: RecordedRequest, attempts: Sequence[Attempt], loop_lag: LoopLagMonitor | None
+) -> Iterator[str]:
     for attempt in attempts:
         late_s = attempt.first_byte_at - request.left_at
+        if loop_lag is not None and late_s > 0:  # the host's loop may have read the attempt that late
+            late_s -= loop_lag.longest_between(request.left_at, attempt.first_byte_at)
         if late_s > ABSENT_CLIENT_LIMIT_S + LIMIT_MARGIN_S:
             yield f"{request.name}: sent to {attempt.host} {late_s:.3f} s after its client left"
 
@@ -153,9 +157,11 @@
     produced_values = [attempt.value for attempt in attempts if attempt.end_kind == AttemptEnd.ANSWERED]
     if answer.kind == AnswerKind.SERVED and answer.value not in produced_values:
         yield f"{request.name}: served with a value that no host produced for it"
+    # Hosts note when their loop reads, so this is compared with the time at which that loop read the answer.
+    answered_at = answer.at if math.isnan(answer.read_at) else answer.read_at
     for attempt in attempts:
-        if attempt.first_byte_at > answer.at + LIMIT_MARGIN_S:
-            late_s = attempt.first_byte_at - answer.at
+        if attempt.first_byte_at > answered_at + LIMIT_MARGIN_S:
+            late_s = attempt.first_byte_at - answered_at
             yield f"{request.name}: sent to {attempt.host} {late_s:.3f} s after its answer"
 
 
