--- a/apigateway/emulators/ledger_rules.py
+++ b/apigateway/emulators/ledger_rules.py
@@ -122,7 +122,7 @@
     checked = 0
     for request in records.requests.values():
         attempts = by_id.get(request.id, ())
-        breaches += _find_attempts_for_absent_client(request, attempts, loop_lag)
+        breaches += _find_attempts_for_absent_client(request, attempts)
         if not request.answers and records.is_excused(request):
             continue
         if not request.answers and request.is_excused_unforwarded and not attempts:
@@ -135,13 +135,9 @@
     return Findings(checked, breaches)
 
 
-def _find_attempts_for_absent_client(
-    request: RecordedRequest, attempts: Sequence[Attempt], loop_lag: LoopLagMonitor | None
-) -> Iterator[str]:
+def _find_attempts_for_absent_client(request: RecordedRequest, attempts: Sequence[Attempt]) -> Iterator[str]:
     for attempt in attempts:
         late_s = attempt.first_byte_at - request.left_at
-        if loop_lag is not None and late_s > 0:  # the host's loop may have read the attempt that late
-            late_s -= loop_lag.longest_between(request.left_at, attempt.first_byte_at)
         if late_s > ABSENT_CLIENT_LIMIT_S + LIMIT_MARGIN_S:
             yield f"{request.name}: sent to {attempt.host} {late_s:.3f} s after its client left"
 
--- a/apigateway/tools/shutdown_soak/clients.py
+++ b/apigateway/tools/shutdown_soak/clients.py
@@ -21,7 +21,6 @@
 HALF_COMMAND_MARGIN_S = 0.5
 RECONNECT_PAUSE_S = 0.02
 NEWCOMER_INTERVAL_S = 0.01
-MAX_NEWCOMERS_S = 0.4  # after the signal; the platform sends new connections for no longer
 EFFECTS = {"read": "safe", "write": "keyed", "note": "unsafe"}
 
 
@@ -118,12 +117,8 @@
         now = time.monotonic()
         for open_request in connection.open_requests:
             request_id = open_request.request.id
-            # The end may have been noticed as late as this loop was.
-            lag_s = self._ledger.loop_lag.longest_between(open_request.written_at, now)
-            is_recent = now - open_request.written_at - lag_s < CROSSING_S
-            is_crossing = is_recent and connection.answer_count > 0
-            is_late_newcomer = connection.opened_at > self.stopped_at + MAX_NEWCOMERS_S
-            is_shut_unread = connection.answer_count == 0 and (self.has_crowd or is_late_newcomer)
+            is_crossing = now - open_request.written_at < CROSSING_S and connection.answer_count > 0
+            is_shut_unread = self.has_crowd and connection.answer_count == 0
             if is_shut_unread or (is_crossing and request_id in self._resent):
                 self._ledger.excuse_unforwarded(request_id)
             elif is_crossing and not self._is_over:
--- a/apigateway/tools/shutdown_soak/connection.py
+++ b/apigateway/tools/shutdown_soak/connection.py
@@ -33,7 +33,6 @@
         answer_count: The number of answers received.
         other_replies: The number of replies without a request: errors for half a command.
         ended: Set once the gateway has closed the connection.
-        opened_at: When it was opened, by `time.monotonic`.
     """
 
     def __init__(
@@ -48,7 +47,6 @@
         self._ledger = ledger
         self._on_ended = on_ended
         self._last_answer_at = 0.0
-        self.opened_at = time.monotonic()
         self._reader = ReplyReader(sock, self._on_reply, self._end)
 
     @classmethod
