Judge the soak by the sockets' times, and keep Python's collector out of a run

Evidence first: a process that only sleeps now tells when the machine ran nothing, when the gateway waited for a CPU and when it ended; verdicts show it.

A merged answer counts from when the clients' loop last ran; with a loop in time that is its time as before, and two tests hold that a late answer stays a breach.

--- a/apigateway/emulators/clients.py
+++ b/apigateway/emulators/clients.py
@@ -12,11 +12,11 @@
 import socket
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from apigateway.emulators.client_messages import Answer, ClientRequest, ResultKind, parse_answer
 from apigateway.emulators.ledger import Ledger
-from apigateway.emulators.timestamped_socket import ReplyReader
+from apigateway.emulators.timestamped_socket import ReceivedReply, ReplyReader
 
 __all__ = [
     "Address",
@@ -41,6 +41,7 @@
 
     answer: Answer
     arrived_at: float = math.nan  # not known of a lost request
+    is_merged: bool = False  # as of a `ReceivedReply`
 
 
 class ClientConnection:
@@ -61,15 +62,20 @@
         self.gateway = gateway
         self.answer_count = 0
         self.is_open = True
-        self._reader = ReplyReader(sock, self._on_reply, self.close)
+        self._reader = ReplyReader(sock, self._on_reply, self._on_ended)
 
-    def _on_reply(self, reply: Any, arrived_at: float) -> None:
+    def _on_reply(self, reply: ReceivedReply) -> None:
         """Complete the open request with its reply; record a reply without a request in the ledger."""
         if self._pending is None or self._pending.done():
             self._client.ledger.record_unsolicited_answer(self.gateway)
         else:
             self.answer_count += 1
-            self._pending.set_result(ReceivedAnswer(parse_answer(reply), arrived_at))
+            self._pending.set_result(
+                ReceivedAnswer(parse_answer(reply.value), reply.arrived_at, reply.is_merged)
+            )
+
+    def _on_ended(self, _ended_at: float) -> None:
+        self.close()
 
     def close(self) -> None:
         """Close the connection; an open request counts as lost."""
@@ -120,16 +126,19 @@
         if connection is None:
             return Answer(ResultKind.UNREACHABLE)
         was_used = connection.answer_count > 0
-        answer, arrived_at = await self._send_on(connection, request)
-        if answer.kind == ResultKind.LOST and was_used:
+        received = await self._send_on(connection, request)
+        if received.answer.kind == ResultKind.LOST and was_used:
             new_connection = await self._connection(gateway, is_new=True)
             if new_connection is not None:
                 connection = new_connection
-                answer, arrived_at = await self._send_on(connection, request)
+                received = await self._send_on(connection, request)
+        answer = received.answer
         if answer.kind == ResultKind.LOST:
             self.ledger.record_disconnect(request.id)
         else:
-            self.ledger.record_answer(request.id, answer.kind, answer.value, arrived_at)
+            self.ledger.record_answer(
+                request.id, answer.kind, answer.value, received.arrived_at, received.is_merged
+            )
             if connection.is_open:
                 self._idle[gateway].append(connection)
         return answer
--- a/apigateway/emulators/hosts.py
+++ b/apigateway/emulators/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -14,9 +15,10 @@
 from apigateway.emulators.ledger import Ledger
 from apigateway.emulators.ledger_records import AttemptEnd
 from apigateway.emulators.listener import Listener
-from apigateway.emulators.pending_answers import PendingAnswer, PendingAnswers
+from apigateway.emulators.pending_answers import OnAttemptEnd, PendingAnswer, PendingAnswers
 from apigateway.emulators.resp import BUSY, ERROR, MALFORMED, PONG, VALUE, Command, bulk, fields
 from apigateway.emulators.script import Script, Step, StepKind
+from apigateway.emulators.timestamped_socket import last_data_at, peer_closed_at
 
 __all__ = ["BUSY", "ERROR", "MALFORMED", "VALUE", "Answer", "Command", "EmulatedHost", "bulk", "fields"]
 
@@ -27,6 +29,13 @@
 Answer = bytes | None | Callable[[], bytes | None]
 
 
+class Arrival(NamedTuple):
+    """When a command arrived at the host's socket, by `time.monotonic`."""
+
+    first_byte_at: float
+    last_byte_at: float
+
+
 class QueuedWork(NamedTuple):
     """A command that waits for a core."""
 
@@ -149,24 +158,29 @@
         answers = PendingAnswers(writer)
         self.connections += 1
         first_byte_at = 0.0  # of the command being received; 0 if there is none
+        sock = writer.get_extra_info("socket")
+        closed_at = math.nan
         try:
             while data := await reader.read(READ_BYTES):
-                first_byte_at = first_byte_at or time.monotonic()
+                # The loop may read late, so the time is that of the socket.
+                arrived_at = last_data_at(sock)
+                first_byte_at = first_byte_at or arrived_at
                 parser.feed(data)
                 while (command := parser.gets()) is not ...:
                     self.commands.append(command)
                     self.arrivals.put_nowait(command)
-                    if not self._handle_command(command, answers, first_byte_at):
+                    if not self._handle_command(command, answers, Arrival(first_byte_at, arrived_at)):
                         return
                     first_byte_at = 0.0
+            closed_at = peer_closed_at(sock)
         finally:
-            answers.connection_closed()
+            answers.connection_closed(closed_at)
             self.connections -= 1
             self.arrivals.put_nowait(None)
 
-    def _handle_command(self, command: Any, answers: PendingAnswers, first_byte_at: float) -> bool:
+    def _handle_command(self, command: Any, answers: PendingAnswers, arrival: Arrival) -> bool:
         """Handle a command; return False if the connection must be closed."""
-        answer = PendingAnswer(answers, self._record_attempt(command, first_byte_at))
+        answer = PendingAnswer(answers, self._record_attempt(command, arrival))
         if command == [b"PING"]:
             answer.write(PONG, HEALTH_CHECK)
             return True
@@ -181,7 +195,7 @@
             return False
         return self._answer(answer, command, step)
 
-    def _record_attempt(self, command: Any, first_byte_at: float) -> Callable[[str, bytes], None]:
+    def _record_attempt(self, command: Any, arrival: Arrival) -> OnAttemptEnd:
         """Record an attempt in the ledger, and return the function that records its end."""
         if self.ledger is None or not isinstance(command, list) or not command[0].startswith(b"API."):
             return _ignore_end
@@ -191,8 +205,9 @@
             fields(command).get("c", ""),
             self.cell,
             self.zone,
-            first_byte_at,
+            arrival.first_byte_at,
             self.work(command) if self.work else 0.0,
+            arrival.last_byte_at,
         )
         return partial(self.ledger.record_attempt_end, number)
 
@@ -290,5 +305,5 @@
             answer.write(made_answer.reply, AttemptEnd.ANSWERED, made_answer.value)
 
 
-def _ignore_end(end_kind: str, value: bytes) -> None:
+def _ignore_end(end_kind: str, value: bytes, ended_at: float = math.nan) -> None:
     """Ignore the end of a command that the ledger does not record."""
--- a/apigateway/emulators/ledger.py
+++ b/apigateway/emulators/ledger.py
@@ -26,8 +26,9 @@
     RuleLimits,
     UnsolicitedAnswer,
 )
-from apigateway.emulators.ledger_rules import RULES, CeilingUse, Verdict, ceiling_uses, check_rules
+from apigateway.emulators.ledger_rules import RULES, CeilingUse, Delays, Verdict, ceiling_uses, check_rules
 from apigateway.emulators.loop_lag import LoopLagMonitor
+from apigateway.emulators.stall_monitor import StallMonitor
 
 __all__ = [
     "RULES",
@@ -52,6 +53,7 @@
         self.limits = limits
         self.clock = clock
         self.loop_lag = LoopLagMonitor()  # of the loop of clients and hosts, while it is started
+        self.stalls = StallMonitor()  # of the gateway's process, while it is started
 
     # Clients
 
@@ -73,7 +75,14 @@
                 id, gateway, self.clock(), timeout_s, customer, plan, service_class, units
             )
 
-    def record_answer(self, id: str, kind: str, value: bytes = b"", arrived_at: float = math.nan) -> None:
+    def record_answer(
+        self,
+        id: str,
+        kind: str,
+        value: bytes = b"",
+        arrived_at: float = math.nan,
+        is_merged: bool = False,
+    ) -> None:
         """Record a request's answer.
 
         Args:
@@ -81,14 +90,21 @@
             kind: An `AnswerKind`.
             value: The value, if the request was served.
             arrived_at: When its last byte arrived at the client's socket, if that is known; else now.
+            is_merged: Whether `arrived_at` is the time of what was read along with it: later answers, or the
+                connection's end.
         """
-        now = self.clock()
-        at = now if math.isnan(arrived_at) else min(now, arrived_at)
-        self.requests[id].answers.append(RecordedAnswer(at, kind, value, now))
+        at = self._time_or_now(arrived_at)
+        self.requests[id].answers.append(RecordedAnswer(at, kind, value, self.clock(), is_merged))
+
+    def record_disconnect(self, id: str, trace: str = "") -> None:
+        """Record that a request's connection ended without an answer.
 
-    def record_disconnect(self, id: str) -> None:
-        """Record that a request's connection ended without an answer."""
+        Args:
+            id: The request.
+            trace: What the client knows of the connection, for the verdict on a lost request.
+        """
         self.requests[id].disconnected_at = self.clock()
+        self.requests[id].disconnect_trace = trace
 
     def record_client_left(self, id: str) -> None:
         """Record that a request's client has left: it needs no answer and must not be forwarded any more."""
@@ -125,21 +141,26 @@
         zone: str,
         first_byte_at: float,
         work_s: float,
+        last_byte_at: float = math.nan,
     ) -> int:
-        """Record that an attempt's last byte arrived; its first byte arrived at `first_byte_at`.
+        """Record that an attempt arrived, from its first to its last byte; the last one now if not given.
 
         Returns:
             The attempt's number, for `record_attempt_end`.
         """
         self.attempts.append(
-            Attempt(id, host, service_class, cell, zone, first_byte_at, self.clock(), work_s)
+            Attempt(
+                id, host, service_class, cell, zone, first_byte_at, self._time_or_now(last_byte_at), work_s
+            )
         )
         return len(self.attempts) - 1
 
-    def record_attempt_end(self, number: int, end_kind: str, value: bytes = b"") -> None:
-        """Record the end of an attempt; `end_kind` is an `AttemptEnd`."""
+    def record_attempt_end(
+        self, number: int, end_kind: str, value: bytes = b"", ended_at: float = math.nan
+    ) -> None:
+        """Record the end of an attempt, now if no time is given; `end_kind` is an `AttemptEnd`."""
         attempt = self.attempts[number]
-        attempt.ended_at = self.clock()
+        attempt.ended_at = self._time_or_now(ended_at)
         attempt.end_kind = end_kind
         attempt.value = value
 
@@ -153,11 +174,16 @@
         """Record a cold start, from `start_share` of the cores to all of them within `warm_up_s`."""
         self.cold_starts.append(ColdStart(self.clock(), host, cores, start_share, warm_up_s))
 
+    def _time_or_now(self, at: float) -> float:
+        """Return a time, which is not later than now; now if it is NaN."""
+        now = self.clock()
+        return now if math.isnan(at) else min(now, at)
+
     # Rules
 
     def check_rules(self) -> tuple[Verdict, ...]:
         """Return one verdict for each rule, in the order of `RULES`; call it once all traffic has ended."""
-        return check_rules(self, self.limits, self.loop_lag)
+        return check_rules(self, self.limits, Delays(self.loop_lag, self.stalls))
 
     def ceiling_uses(self, by_id: AttemptsById) -> dict[str, CeilingUse]:
         """Return how much of its ceiling each customer left unused."""
--- a/apigateway/emulators/ledger_records.py
+++ b/apigateway/emulators/ledger_records.py
@@ -96,6 +96,8 @@
     kind: str  # an `AnswerKind`
     value: bytes
     read_at: float = math.nan  # when the client's event loop read it
+    # Whether `at` is the time of what was read along with it: later answers, or the connection's end.
+    is_merged: bool = False
 
 
 @dataclass(slots=True)
@@ -106,6 +108,7 @@
         sent_at: When its last byte was written.
         timeout_s: How long its client waits.
         disconnected_at: When its connection ended without an answer; NaN if it has not.
+        disconnect_trace: What its client knows of that connection, for the verdict on a lost request.
         left_at: When its client left; infinite if it has not.
         is_excused_unforwarded: Whether it needs no answer if it was not forwarded.
     """
@@ -120,6 +123,7 @@
     units: float
     answers: list[RecordedAnswer] = field(default_factory=list)
     disconnected_at: float = math.nan
+    disconnect_trace: str = ""
     left_at: float = math.inf
     is_excused_unforwarded: bool = False
 
--- a/apigateway/emulators/loop_lag.py
+++ b/apigateway/emulators/loop_lag.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import NamedTuple
 
 PROBE_INTERVAL_S = 0.01
@@ -10,17 +11,47 @@
 
 
 class Lag(NamedTuple):
-    """A timer that ran late."""
+    """A time in which something was due and did not run."""
 
     due_at: float
     seconds: float
 
 
-class LoopLagMonitor:
-    """Records the lags of the running event loop from `start` to `stop`."""
+class LagLog:
+    """The lags of one loop or process, by `time.monotonic`."""
 
     def __init__(self) -> None:
         self._lags: list[Lag] = []
+
+    def record(self, lag: Lag) -> None:
+        """Record a lag."""
+        self._lags.append(lag)
+
+    def longest_between(self, start: float, end: float) -> float:
+        """Return the longest lag, in seconds, that overlaps a time; 0 if there was none."""
+        overlapping = (
+            lag.seconds for lag in self._lags if lag.due_at <= end and lag.due_at + lag.seconds >= start
+        )
+        return max(overlapping, default=0.0)
+
+    def blocked_since(self, at: float) -> float:
+        """Return since when a loop that was late at a time had not run; `at` itself if it was not late.
+
+        The turn in which a lag ends reads its sockets after its timers, so it lasts up to the next probe.
+        """
+        starts = (
+            lag.due_at
+            for lag in self._lags
+            if lag.due_at <= at <= lag.due_at + lag.seconds + PROBE_INTERVAL_S
+        )
+        return min(starts, default=at)
+
+
+class LoopLagMonitor(LagLog):
+    """Records the lags of the running event loop from `start` to `stop`."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -32,20 +63,13 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def longest_between(self, start: float, end: float) -> float:
-        """Return the longest lag, in seconds, that overlaps a time; 0 if there was none."""
-        overlapping = (
-            lag.seconds for lag in self._lags if lag.due_at <= end and lag.due_at + lag.seconds >= start
-        )
-        return max(overlapping, default=0.0)
-
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
         due_at = loop.time() + PROBE_INTERVAL_S
         self._timer = loop.call_at(due_at, self._probe, due_at)
 
     def _probe(self, due_at: float) -> None:
-        seconds = asyncio.get_running_loop().time() - due_at
+        seconds = time.monotonic() - due_at  # the loop's own time is that of the start of its turn
         if seconds >= MIN_RECORDED_LAG_S:
-            self._lags.append(Lag(due_at, seconds))
+            self.record(Lag(due_at, seconds))
         self._schedule()
--- a/apigateway/emulators/pending_answers.py
+++ b/apigateway/emulators/pending_answers.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
-from collections.abc import Callable
+from typing import Protocol
 
 from apigateway.emulators.ledger_records import AttemptEnd
+from apigateway.emulators.timestamped_socket import peer_closed_at
+
+
+class OnAttemptEnd(Protocol):
+    """Called with an attempt's end: its `AttemptEnd`, the value sent, and the time if it is not now."""
+
+    def __call__(self, end_kind: str, value: bytes, ended_at: float = math.nan) -> None:
+        """Take the end of the attempt."""
 
 
 class PendingAnswers:
@@ -30,17 +39,19 @@
         while self._waiting and self._waiting[0].reply is not None:
             answer = self._waiting.popleft()
             assert answer.reply is not None
+            # For a client that had closed before, the attempt ended then.
+            closed_at = peer_closed_at(self.writer.get_extra_info("socket"))
             if self.is_open:
                 self.writer.write(answer.reply)
-            answer.end(answer.end_kind)
+            answer.end(answer.end_kind, closed_at)
             if answer.is_last:
                 self.writer.close()
 
-    def connection_closed(self) -> None:
-        """End all commands without an answer, because the client has disconnected."""
+    def connection_closed(self, closed_at: float = math.nan) -> None:
+        """End all commands without an answer, because the client has disconnected, now if not said when."""
         self.is_open = False
         for answer in self._waiting:
-            answer.end(AttemptEnd.CLOSED)
+            answer.end(AttemptEnd.CLOSED, closed_at)
 
 
 class PendingAnswer:
@@ -54,8 +65,8 @@
         is_last: Whether the connection is closed after it.
     """
 
-    def __init__(self, connection: PendingAnswers, on_end: Callable[[str, bytes], None]) -> None:
-        """Add the answer to its connection; `on_end` is called once with `end_kind` and `value`."""
+    def __init__(self, connection: PendingAnswers, on_end: OnAttemptEnd) -> None:
+        """Add the answer to its connection; `on_end` is called once."""
         self._connection = connection
         self._on_end = on_end
         self.reply: bytes | None = None
@@ -73,8 +84,8 @@
         self.is_last = is_last
         self._connection.flush()
 
-    def end(self, end_kind: str) -> None:
+    def end(self, end_kind: str, ended_at: float = math.nan) -> None:
         """End the attempt, unless it has ended already."""
         if not self.is_over:
             self.is_over = True
-            self._on_end(end_kind, self.value)
+            self._on_end(end_kind, self.value, ended_at)
--- a/apigateway/emulators/timestamped_socket.py
+++ b/apigateway/emulators/timestamped_socket.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 import time
@@ -15,12 +16,17 @@
 
 import hiredis
 
+# Of Linux's `struct tcp_info`: the state, then `tcpi_last_data_recv`, of the last segment with data, and
+# `tcpi_last_ack_recv`, of the last one of any kind. Both are ages in milliseconds.
+_TCP_INFO = struct.Struct("@B51xII")
+_TCP_CLOSE_WAIT = 8  # the peer has ended its side
 # Of Linux; the socket module does not name it. The control message has the same number.
 SO_TIMESTAMPNS = 35
 MAX_READ_BYTES = 1 << 16
 _TIMESPEC = struct.Struct("@ll")  # seconds and nanoseconds of CLOCK_REALTIME
 _CONTROL_BYTES = socket.CMSG_SPACE(_TIMESPEC.size)
 _NANOSECONDS = 1e-9
+_MILLISECONDS = 1e-3
 
 
 class ReceivedBytes(NamedTuple):
@@ -30,6 +36,24 @@
     arrived_at: float  # when the last of them arrived, by `time.monotonic`
 
 
+class ReceivedReply(NamedTuple):
+    """A reply from a socket."""
+
+    value: Any
+    arrived_at: float  # when its last byte arrived, by `time.monotonic`
+    # Whether later replies or the connection's end had come before it was read. The kernel merges them, and
+    # tells the time of the last one.
+    is_merged: bool
+
+
+class _TcpInfo(NamedTuple):
+    """A TCP socket's state, and how long ago it received its last segment with data and its last one."""
+
+    state: int
+    data_age_s: float
+    segment_age_s: float
+
+
 def enable_timestamps(sock: socket.socket) -> None:
     """Let the kernel note arrival times for `receive`."""
     sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
@@ -47,17 +71,45 @@
     return ReceivedBytes(data, now)
 
 
+def peer_closed_at(sock: socket.socket) -> float:
+    """Return when a TCP socket's peer ended its side, by `time.monotonic`; NaN if it has not.
+
+    If bytes were sent since then, it is when the peer's last answer to them arrived. A reset leaves no time:
+    NaN.
+    """
+    try:
+        info = _tcp_info(sock)
+    except OSError:  # this side is closed
+        return math.nan
+    return time.monotonic() - info.segment_age_s if info.state == _TCP_CLOSE_WAIT else math.nan
+
+
+def last_data_at(sock: socket.socket) -> float:
+    """Return when the last data of a TCP socket's peer arrived, by `time.monotonic`."""
+    return time.monotonic() - _tcp_info(sock).data_age_s
+
+
+def _tcp_info(sock: socket.socket) -> _TcpInfo:
+    data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    state, data_age_ms, segment_age_ms = _TCP_INFO.unpack(data)
+    return _TcpInfo(state, data_age_ms * _MILLISECONDS, segment_age_ms * _MILLISECONDS)
+
+
 class ReplyReader:
     """Reads the RESP2 replies of a socket in the running event loop.
 
     Args:
         sock: A connected, non-blocking socket.
-        on_reply: Called with each reply and the time at which its last byte arrived.
-        on_ended: Called once the peer has closed or reset the connection; the socket stays open.
+        on_reply: Called with each reply.
+        on_ended: Called once the peer has closed or reset the connection, with the time of that; the socket
+            stays open. A reset leaves no time, and counts as of when it is read.
     """
 
     def __init__(
-        self, sock: socket.socket, on_reply: Callable[[Any, float], None], on_ended: Callable[[], None]
+        self,
+        sock: socket.socket,
+        on_reply: Callable[[ReceivedReply], None],
+        on_ended: Callable[[float], None],
     ) -> None:
         self._socket = sock
         self._on_reply = on_reply
@@ -77,11 +129,17 @@
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
-            self._on_ended()
+            self._on_ended(time.monotonic())
             return
         if not received.data:
-            self._on_ended()
+            closed_at = peer_closed_at(self._socket)
+            self._on_ended(time.monotonic() if math.isnan(closed_at) else closed_at)
             return
         self._parser.feed(received.data)
-        while (reply := self._parser.gets()) is not ...:
-            self._on_reply(reply, received.arrived_at)
+        has_ended = not math.isnan(peer_closed_at(self._socket))
+        reply = self._parser.gets()
+        while reply is not ...:
+            next_reply = self._parser.gets()
+            is_merged = has_ended or next_reply is not ...
+            self._on_reply(ReceivedReply(reply, received.arrived_at, is_merged))
+            reply = next_reply
--- a/apigateway/tools/shutdown_soak/clients.py
+++ b/apigateway/tools/shutdown_soak/clients.py
@@ -88,15 +88,21 @@
 
     async def connect(self) -> SoakConnection | None:
         """Open a connection; None if the gateway does not accept one, or new ones do not come any more."""
-        if time.monotonic() > self.stopped_at + self._plan.newcomers_s:
+        if self._are_newcomers_over():
             return None
         connection = await SoakConnection.open(self._port, self._ledger, self._on_connection_ended)
         if connection is None:
             self.connect_failures += 1
-        else:
-            self._connections.add(connection)
+            return None
+        if self._are_newcomers_over():  # this loop was late, and the gateway may have given the connection up
+            connection.leave()
+            return None
+        self._connections.add(connection)
         return connection
 
+    def _are_newcomers_over(self) -> bool:
+        return time.monotonic() > self.stopped_at + self._plan.newcomers_s
+
     def new_request(self) -> ClientRequest:
         """Draw a request."""
         rng = self._rng
@@ -114,10 +120,11 @@
     def _on_connection_ended(self, connection: SoakConnection) -> None:
         """Decide what the gateway owes to the requests that were open on a connection that it has ended."""
         self._connections.discard(connection)
-        now = time.monotonic()
         for open_request in connection.open_requests:
             request_id = open_request.request.id
-            is_crossing = now - open_request.written_at < CROSSING_S and connection.answer_count > 0
+            is_crossing = (
+                connection.ended_at - open_request.written_at < CROSSING_S and connection.answer_count > 0
+            )
             is_shut_unread = self.has_crowd and connection.answer_count == 0
             if is_shut_unread or (is_crossing and request_id in self._resent):
                 self._ledger.excuse_unforwarded(request_id)
@@ -127,9 +134,21 @@
             elif is_crossing:
                 self._ledger.excuse_unforwarded(request_id)
             else:
-                self._ledger.record_disconnect(request_id)
+                self._ledger.record_disconnect(request_id, self._describe(connection, open_request))
         connection.open_requests.clear()
 
+    def _describe(self, connection: SoakConnection, open_request: OpenRequest) -> str:
+        """Return what is known of a connection that ended without the answer to a request."""
+        ended_s = connection.ended_at - open_request.written_at
+        parts = [
+            f"connection opened {connection.opened_at - self.stopped_at:.3f} s after the signal",
+            f"{connection.answer_count} answers on it",
+            f"its end arrived {ended_s:.3f} s after the request was written",
+        ]
+        if open_request.request.id in self._resent:
+            parts.append("sent once more")
+        return ", ".join(parts)
+
     async def _resend(self, open_request: OpenRequest) -> None:
         """Send a request that crossed the end of its connection once more, on a new connection."""
         request = open_request.request
--- a/apigateway/tools/shutdown_soak/connection.py
+++ b/apigateway/tools/shutdown_soak/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
 from collections import deque
@@ -12,7 +13,7 @@
 from apigateway.emulators.client_messages import ClientRequest, parse_answer
 from apigateway.emulators.ledger import Ledger
 from apigateway.emulators.ledger_records import LIMIT_MARGIN_S
-from apigateway.emulators.timestamped_socket import ReplyReader
+from apigateway.emulators.timestamped_socket import ReceivedReply, ReplyReader
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -33,6 +34,8 @@
         answer_count: The number of answers received.
         other_replies: The number of replies without a request: errors for half a command.
         ended: Set once the gateway has closed the connection.
+        opened_at: When it was opened, by `time.monotonic`.
+        ended_at: When the gateway's end of the connection arrived at the socket; NaN before.
     """
 
     def __init__(
@@ -47,6 +50,8 @@
         self._ledger = ledger
         self._on_ended = on_ended
         self._last_answer_at = 0.0
+        self.opened_at = time.monotonic()
+        self.ended_at = math.nan
         self._reader = ReplyReader(sock, self._on_reply, self._end)
 
     @classmethod
@@ -88,7 +93,7 @@
         try:
             self._socket.sendall(data)
         except OSError:
-            self._end()
+            self._end(time.monotonic())
             return False
         return True
 
@@ -98,7 +103,7 @@
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError:
-            self._end()
+            self._end(time.monotonic())
 
     def leave(self) -> None:
         """Close the connection; open requests need no answer and are not to be forwarded any more."""
@@ -110,7 +115,7 @@
             self._ledger.record_client_left(open_request.request.id)
         self.open_requests.clear()
 
-    def _on_reply(self, reply: object, arrived_at: float) -> None:
+    def _on_reply(self, reply: ReceivedReply) -> None:
         if not self.open_requests:
             self.other_replies += 1
             return
@@ -118,18 +123,20 @@
         request = open_request.request
         # The time for which an answer waits for those before it does not count.
         latest = open_request.written_at + request.timeout_s
+        arrived_at = reply.arrived_at
         if arrived_at > latest and arrived_at <= self._last_answer_at + LIMIT_MARGIN_S:
             counted_at = latest
         else:
             counted_at = arrived_at
         self._last_answer_at = arrived_at
         self.answer_count += 1
-        answer = parse_answer(reply)
-        self._ledger.record_answer(request.id, answer.kind, answer.value, counted_at)
+        answer = parse_answer(reply.value)
+        self._ledger.record_answer(request.id, answer.kind, answer.value, counted_at, reply.is_merged)
         self.answered.set()
 
-    def _end(self) -> None:
+    def _end(self, ended_at: float) -> None:
         if not self.ended.is_set():
+            self.ended_at = ended_at
             self._close()
             self._on_ended(self)
 
--- a/apigateway/tools/shutdown_soak/run.py
+++ b/apigateway/tools/shutdown_soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import tempfile
@@ -10,6 +11,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from apigateway.emulators.collection_pause import pause_garbage_collection
 from apigateway.emulators.ledger_records import AnswerKind
 from apigateway.emulators.ledger_rules import RULES
 from apigateway.tools.shutdown_soak.clients import SoakClients
@@ -48,7 +50,7 @@
 
 async def run_plan(plan: SoakPlan) -> SoakResult:
     """Play a plan and return its result."""
-    with tempfile.TemporaryDirectory() as folder:
+    with pause_garbage_collection(), tempfile.TemporaryDirectory() as folder:
         async with Installation(plan, Path(folder)) as installation:
             run = _Run(plan, installation)
             await run.play()
@@ -76,6 +78,7 @@
             env=installation.environment(),
             stderr=asyncio.subprocess.PIPE,
         )
+        await installation.ledger.stalls.start(self.process.pid)
         log_reader = asyncio.get_running_loop().create_task(self._read_log())
         try:
             if self.plan.early_stop:
@@ -85,9 +88,9 @@
                 await self._play_under_load()
             await self._wait_for_exit()
         finally:
-            if self.process.returncode is None:
-                self.process.kill()
+            self._kill()
             await log_reader
+            await installation.ledger.stalls.stop()
             if self.clients is not None:
                 await self.clients.stop()
             installation.ledger.loop_lag.stop()
@@ -159,10 +162,14 @@
             async with asyncio.timeout(max(0.0, kill_at - time.monotonic())):
                 await self.process.wait()
         except TimeoutError:
-            self.result.breaches.append(f"did not end within {self.plan.kill_after_s:.2f} s: killed")
-            self.process.kill()
+            self._kill()
             await self.process.wait()
-        self.result.exit_s = time.monotonic() - self._stopped_at
+
+    def _kill(self) -> None:
+        if self.process.returncode is None:
+            # It may have ended, and this loop not have learned of it.
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
 
     async def _read_log(self) -> None:
         assert self.process.stderr is not None
@@ -188,8 +195,7 @@
             for request in ledger.requests.values()
             for answer in request.answers
         )
-        if self.process.returncode != 0:
-            result.breaches.append(f"exit code {self.process.returncode}")
+        self._judge_exit()
         for verdict in ledger.check_rules():
             if verdict.rule in JUDGED_RULES:
                 result.breaches += [f"{verdict.rule}: {breach}" for breach in verdict.breaches]
@@ -199,3 +205,14 @@
                 result.breaches.append("no request was served")
         tracebacks = [line for line in result.log_lines if any(text in line for text in TRACEBACK_TEXTS)]
         result.breaches += [f"in the log: {line}" for line in tracebacks[:1]]
+
+    def _judge_exit(self) -> None:
+        assert self._stopped_at is not None
+        result = self.result
+        result.exit_s = self.installation.ledger.stalls.ended_at - self._stopped_at
+        if self.process.returncode == -signal.SIGKILL:
+            result.breaches.append(f"did not end within {self.plan.kill_after_s:.2f} s: killed")
+        elif not result.exit_s <= self.plan.kill_after_s:
+            result.breaches.append(f"ended only after {result.exit_s:.3f} s, just before it was killed")
+        if self.process.returncode != 0:
+            result.breaches.append(f"exit code {self.process.returncode}")
--- /dev/null
+++ b/tests/emulators/test_socket_times.py
@@ -0,0 +1,239 @@
+"""The ledger's times are those of the sockets, also when the loop of clients and hosts is held up."""
+
+import asyncio
+import gc
+import select
+import signal
+import socket
+import sys
+import threading
+import time
+
+import pytest
+from gateway_harness import make_command, run_on_uvloop
+
+from apigateway.emulators.client_messages import ClientRequest
+from apigateway.emulators.collection_pause import pause_garbage_collection
+from apigateway.emulators.hosts import EmulatedHost
+from apigateway.emulators.ledger import ClassRules, Ledger, RuleLimits
+from apigateway.emulators.stall_monitor import StallMonitor
+from apigateway.tools.shutdown_soak.clients import SoakClients
+from apigateway.tools.shutdown_soak.connection import SoakConnection
+from apigateway.tools.shutdown_soak.plan import draw_plan
+
+TIMEOUT_S = 0.1
+HELD_UP_S = 0.3  # well past the timeout and the margin
+ROUNDING_S = 0.01  # the kernel tells some times in milliseconds
+REFUSAL = b"-BUSY\r\n"
+
+
+class ScriptedServer(threading.Thread):
+    """Accepts one connection and plays a script on it, in a thread of its own; `played` is set then."""
+
+    def __init__(self, script):
+        super().__init__(daemon=True)
+        self.script = script
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.played = threading.Event()
+
+    def run(self):
+        connection, _ = self.listener.accept()
+        connection.recv(65536)
+        self.script(connection)
+        self.played.set()
+
+
+def hold_up_loop(event):
+    """Keep the loop from running until a thread has set an event."""
+    assert event.wait(60)
+
+
+def wait(seconds):
+    select.select([], [], [], seconds)
+
+
+def answer_at_once_and_end_late(connection):
+    connection.sendall(REFUSAL)
+    wait(HELD_UP_S)
+    connection.close()
+
+
+def answer_at_once_and_again_late(connection):
+    connection.sendall(REFUSAL)
+    wait(HELD_UP_S)
+    connection.sendall(REFUSAL)
+
+
+def answer_both_late(connection):
+    wait(HELD_UP_S)
+    connection.sendall(REFUSAL * 2)
+
+
+def answer_late_and_end(connection):
+    wait(HELD_UP_S)
+    connection.sendall(REFUSAL)
+    connection.close()
+
+
+def make_request(name, timeout_s=TIMEOUT_S):
+    return ClientRequest(name, "0" * 16, "p", "read", "safe", timeout_s)
+
+
+def make_ledger():
+    ledger = Ledger(RuleLimits({"read": ClassRules("safe")}))
+    ledger.loop_lag.start()
+    return ledger
+
+
+async def verdict_of_requests(script, *requests, is_held_up):
+    """Send requests at once to a scripted server, and return the verdict on lost requests."""
+    ledger = make_ledger()
+    server = ScriptedServer(script)
+    server.start()
+    connection = await SoakConnection.open(server.port, ledger, lambda _: None)
+    await asyncio.sleep(0.02)  # the lag of the loop is measured from here on
+    connection.send(*requests)
+    if is_held_up:
+        hold_up_loop(server.played)
+    while connection.open_requests:
+        connection.answered.clear()
+        await connection.answered.wait()
+    await asyncio.sleep(0.02)  # the lag of the loop is recorded
+    connection.leave()
+    ledger.loop_lag.stop()
+    return ledger.check_rules()[0]
+
+
+# Guards against an answer in time that counted as late: the kernel merges its time with that of the end.
+@run_on_uvloop
+async def test_answer_in_time_is_in_time_though_its_connection_ends_before_it_is_read():
+    verdict = await verdict_of_requests(answer_at_once_and_end_late, make_request("r1"), is_held_up=True)
+    assert verdict.kept, verdict.breaches
+
+
+# Guards against an answer in time that counted as late: the kernel merges its time with that of the next one.
+@run_on_uvloop
+async def test_answer_in_time_is_in_time_though_a_later_one_is_read_along_with_it():
+    requests = [make_request("r1"), make_request("r2", timeout_s=3.0)]
+    verdict = await verdict_of_requests(answer_at_once_and_again_late, *requests, is_held_up=True)
+    assert verdict.kept, verdict.breaches
+
+
+@run_on_uvloop
+async def test_late_answer_breaks_the_rule_though_its_connection_ends_at_once():
+    verdict = await verdict_of_requests(answer_late_and_end, make_request("r1"), is_held_up=False)
+    assert not verdict.kept
+
+
+@run_on_uvloop
+async def test_late_answer_breaks_the_rule_though_a_later_one_is_read_along_with_it():
+    requests = [make_request("r1"), make_request("r2", timeout_s=3.0)]
+    verdict = await verdict_of_requests(answer_both_late, *requests, is_held_up=False)
+    (breach,) = verdict.breaches
+    assert "r1" in breach and "more was read along with it" in breach
+
+
+# Guards against attempts that counted as sent after their client had left: the host's loop read them late.
+@pytest.mark.parametrize("work", [None, lambda _: 0.01], ids=["answers at once", "works"])
+@run_on_uvloop
+async def test_attempt_counts_from_its_arrival_until_its_client_closes_however_late_the_host_reads(work):
+    ledger = make_ledger()
+    async with EmulatedHost(name="h", work=work, ledger=ledger) as host:
+        gateway = socket.create_connection(("127.0.0.1", host.port))
+        await asyncio.sleep(0.02)  # the host has accepted
+        gateway.sendall(make_command())
+        gateway.close()
+        sent_by = time.monotonic()
+        wait(HELD_UP_S)
+        while not ledger.attempts or ledger.attempts[0].end_kind == "":
+            await asyncio.sleep(0)
+    (attempt,) = ledger.attempts
+    assert attempt.first_byte_at <= attempt.last_byte_at <= sent_by + ROUNDING_S
+    assert attempt.ended_at <= sent_by + ROUNDING_S
+
+
+# Guards against a request that crossed the end of its connection and counted as lost: the end was read late.
+@run_on_uvloop
+async def test_connection_ends_when_the_end_arrives_however_late_it_is_read():
+    server = ScriptedServer(lambda connection: connection.close())
+    server.start()
+    connection = await SoakConnection.open(server.port, make_ledger(), lambda _: None)
+    connection.send_bytes(b"x")
+    hold_up_loop(server.played)
+    ended_by = time.monotonic()
+    wait(HELD_UP_S)
+    await connection.ended.wait()
+    assert connection.ended_at <= ended_by + ROUNDING_S
+
+
+# Guards against a first request that was written half a second after its connection was opened, and counted
+# as lost: the loop was late, and the plan has new connections send at once.
+@run_on_uvloop
+async def test_connection_that_was_opened_too_late_is_not_used(monkeypatch):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        clients = SoakClients(draw_plan(1), listener.getsockname()[1], make_ledger())
+        clients.stopped_at = time.monotonic()
+        opened = []
+
+        async def open_while_newcomers_end(*arguments):
+            opened.append(await SoakConnection.open(*arguments))
+            clients.stopped_at -= 1.0
+            return opened[0]
+
+        class LateConnection:
+            open = staticmethod(open_while_newcomers_end)
+
+        monkeypatch.setattr("apigateway.tools.shutdown_soak.clients.SoakConnection", LateConnection)
+        assert await clients.connect() is None
+        assert opened[0].ended.is_set()
+
+
+def test_garbage_is_not_collected_during_a_run():
+    assert gc.isenabled()
+    with pause_garbage_collection():
+        assert not gc.isenabled()
+        with pause_garbage_collection():
+            pass
+        assert not gc.isenabled()
+    assert gc.isenabled()
+
+
+SLEEPING_PROGRAM = "import sys; sys.stdin.read()"  # until its input ends
+
+
+async def start_program(monitor):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", SLEEPING_PROGRAM, stdin=asyncio.subprocess.PIPE
+    )
+    await monitor.start(process.pid)
+    return process
+
+
+@run_on_uvloop
+async def test_monitor_tells_when_the_process_ended_however_late_the_loop_learns_of_it():
+    monitor = StallMonitor()
+    process = await start_program(monitor)
+    before = time.monotonic()
+    process.kill()
+    wait(HELD_UP_S)
+    held_up_until = time.monotonic()
+    await process.wait()
+    await monitor.stop()
+    assert before <= monitor.ended_at < held_up_until
+
+
+@run_on_uvloop
+async def test_monitor_tells_stalls_of_the_machine():
+    monitor = StallMonitor()
+    process = await start_program(monitor)
+    monitor.probe.send_signal(signal.SIGSTOP)  # as if the machine ran nothing
+    stalled_at = time.monotonic()
+    wait(HELD_UP_S)
+    monitor.probe.send_signal(signal.SIGCONT)
+    resumed_at = time.monotonic()
+    process.stdin.close()
+    await process.wait()
+    await monitor.stop()
+    assert monitor.machine.longest_between(stalled_at, resumed_at) >= HELD_UP_S / 2
+    assert monitor.machine.longest_between(0.0, stalled_at - 1.0) == 0.0
