Give each run of the soak a process of its own

`make soak JOBS=4` ran four runs at a time in one event loop, so what held up the loop of one held up all. Each run now has a process and a loop of its own.

--- a/apigateway/tools/shutdown_soak/main.py
+++ b/apigateway/tools/shutdown_soak/main.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
+import multiprocessing
 import sys
 from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
 
 import uvloop
 
@@ -17,17 +18,23 @@
 SHOWN_LOG_LINES = 20
 
 
-async def run_seeds(seeds: Sequence[int], jobs: int) -> list[SoakResult]:
-    """Run the plans of seeds, `jobs` at a time, and print a line for each."""
-    slots = asyncio.Semaphore(jobs)
+def run_seeds(seeds: Sequence[int], jobs: int) -> list[SoakResult]:
+    """Run the plans of seeds, `jobs` at a time, and print a line for each.
 
-    async def run_seed(seed: int) -> SoakResult:
-        async with slots:
-            result = await run_plan(draw_plan(seed))
-        print(format_result(result), flush=True)
-        return result
+    Each runs in a process of its own, so that the clients and hosts of one do not hold up those of another.
+    """
+    context = multiprocessing.get_context("spawn")
+    results = []
+    with ProcessPoolExecutor(jobs, mp_context=context) as executor:
+        for result in executor.map(run_seed, seeds):
+            print(format_result(result), flush=True)
+            results.append(result)
+    return results
 
-    return await asyncio.gather(*(run_seed(seed) for seed in seeds))
+
+def run_seed(seed: int) -> SoakResult:
+    """Run the plan of a seed."""
+    return uvloop.run(run_plan(draw_plan(seed)))
 
 
 def format_result(result: SoakResult) -> str:
@@ -58,7 +65,7 @@
         print("\n".join(f"seed {seed}:\n{draw_plan(seed)}" for seed in seeds))
         return 0
     print(HEADING)
-    results = uvloop.run(run_seeds(seeds, options.jobs))
+    results = run_seeds(seeds, options.jobs)
     broken = [result for result in results if result.breaches]
     nearest = min(results, key=lambda result: result.plan.kill_after_s - result.exit_s)
     print(
