Split the ledger's rules: lost requests and ceilings have modules of their own

The rule on lost requests with its traces is lost_requests.py now, that on ceilings ceiling_use.py; moved, not changed.

Measured: lint, types and import contracts clean; emulators' tests pass.

--- a/apigateway/emulators/ledger.py
+++ b/apigateway/emulators/ledger.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
+from apigateway.emulators.ceiling_use import CeilingUse, ceiling_uses
 from apigateway.emulators.ledger_records import (
     Attempt,
     AttemptsById,
@@ -26,8 +27,9 @@
     RuleLimits,
     UnsolicitedAnswer,
 )
-from apigateway.emulators.ledger_rules import RULES, CeilingUse, Delays, Verdict, ceiling_uses, check_rules
+from apigateway.emulators.ledger_rules import RULES, Verdict, check_rules
 from apigateway.emulators.loop_lag import LoopLagMonitor
+from apigateway.emulators.lost_requests import Delays
 from apigateway.emulators.stall_monitor import StallMonitor
 
 __all__ = [
