Turn off grpcio's fork handlers wherever a process sends checks and starts gateways

Seen: 4 of 250 runs of test_no_check_fails_during_a_shutdown_and_hand_over, the successor ended with -11 before its first line of log. The demo restarts a gateway while it sends checks by grpcio, so it could show the same.

Cause, by the evidence in docs/incidents/fork-beside-grpc.md: the handlers run in the child between fork and exec while grpcio's threads work. The tests set GRPC_ENABLE_FORK_SUPPORT=0 since before; emulators/checks.py does so now before it loads grpcio, which covers the demo and benchmarks/ratelimit_mixed.py.

--- a/apigateway/emulators/checks.py
+++ b/apigateway/emulators/checks.py
@@ -6,16 +6,20 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-import grpc
-from envoy.service.ratelimit.v3 import rls_pb2 as pb
+# Read when grpcio is loaded: its fork handlers can crash gateways that this process starts before they run.
+os.environ.setdefault("GRPC_ENABLE_FORK_SUPPORT", "0")
 
-from apigateway.emulators.clients import Customer
-from apigateway.emulators.ledger import Ledger
+import grpc  # noqa: E402
+from envoy.service.ratelimit.v3 import rls_pb2 as pb  # noqa: E402
+
+from apigateway.emulators.clients import Customer  # noqa: E402
+from apigateway.emulators.ledger import Ledger  # noqa: E402
 
 METHOD = "/envoy.service.ratelimit.v3.RateLimitService/ShouldRateLimit"
 OK = pb.RateLimitResponse.OK
