Test both signals to end before the gateway exists with one test

Need: the tests of SIGTERM and SIGINT before the gateway exists stood twice, alike but for the signal. One test plays both, with the same assertions.

Measured: both cases passed.

--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -173,29 +173,17 @@
         assert await process.wait() == 0
 
 
-@run_on_uvloop
-async def test_sigterm_before_the_gateway_exists_then_exits(tmp_path):
-    config = tmp_path / "config.json"
-    blocked_read = BlockedFileRead(config)
-    process = await asyncio.create_subprocess_exec(
-        *COMMAND, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
-    )
-    async with blocked_read:
-        process.send_signal(signal.SIGTERM)
-        assert await process.wait() == 0
-    assert await process.stderr.read() == b""
-
-
 # Guards against a KeyboardInterrupt within the start: a stack in the log, and an exit that counts as a crash.
+@pytest.mark.parametrize("early_signal", [signal.SIGTERM, signal.SIGINT], ids=["SIGTERM", "SIGINT"])
 @run_on_uvloop
-async def test_sigint_before_the_gateway_exists_then_exits(tmp_path):
+async def test_signal_to_end_before_the_gateway_exists_then_exits(early_signal, tmp_path):
     config = tmp_path / "config.json"
     blocked_read = BlockedFileRead(config)
     process = await asyncio.create_subprocess_exec(
         *COMMAND, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
     )
     async with blocked_read:
-        process.send_signal(signal.SIGINT)
+        process.send_signal(early_signal)
         assert await process.wait() == 0
     assert await process.stderr.read() == b""
 
