--- a/apigateway/emulators/pending_answers.py
+++ b/apigateway/emulators/pending_answers.py
@@ -56,7 +56,7 @@
 
     def _note_close(self) -> None:
         """Note when the client closed, if it has: its attempts ended then."""
-        if math.isnan(self._closed_at):
+        if math.isnan(self._closed_at) and not self.writer.transport.is_closing():
             self._closed_at = peer_closed_at(self.writer.get_extra_info("socket"))
 
 
--- a/apigateway/emulators/timestamped_socket.py
+++ b/apigateway/emulators/timestamped_socket.py
@@ -85,8 +85,12 @@
 
 
 def last_data_at(sock: socket.socket) -> float:
-    """Return when the last data of a TCP socket's peer arrived, by `time.monotonic`."""
-    return time.monotonic() - _tcp_info(sock).data_age_s
+    """Return when the last data of a TCP socket's peer arrived, by `time.monotonic`; now if it is closed."""
+    now = time.monotonic()
+    try:
+        return now - _tcp_info(sock).data_age_s
+    except OSError:
+        return now
 
 
 def _tcp_info(sock: socket.socket) -> _TcpInfo:
