--- a/apigateway/emulators/timestamped_socket.py
+++ b/apigateway/emulators/timestamped_socket.py
@@ -79,7 +79,7 @@
     """
     try:
         info = _tcp_info(sock)
-    except OSError:  # this side is closed
+    except (OSError, ValueError):  # this side is closed
         return math.nan
     return time.monotonic() - info.segment_age_s if info.state == _TCP_CLOSE_WAIT else math.nan
 
@@ -89,7 +89,7 @@
     now = time.monotonic()
     try:
         return now - _tcp_info(sock).data_age_s
-    except OSError:
+    except (OSError, ValueError):
         return now
 
 
