Let the stall probe count stalls from its first line on, also outside its sleep

Cause: the probe said that it had started before it read its clock, and counted only what was late in its sleep; a stall between was not seen. It reads the clock first, and each turn is due from the end of the last one.

--- a/apigateway/emulators/stall_probe.py
+++ b/apigateway/emulators/stall_probe.py
@@ -23,9 +23,10 @@
     """Print a line for each stall and each wait that is long enough until the process has ended."""
     process = Path(f"/proc/{pid}")
     waited_s = read_waited_s(process)
+    now = time.monotonic()
     print("started", flush=True)
     while waited_s is not None:
-        due_at = time.monotonic() + SLEEP_S
+        due_at = now + SLEEP_S  # from the last turn on, so that a stall outside the sleep counts too
         time.sleep(SLEEP_S)
         now = time.monotonic()
         if now - due_at >= MIN_PRINTED_STALL_S:
