--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,32 +12,18 @@
 import signal
 import socket
 import sys
-import tempfile
 import threading
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-
-from standins import (  # noqa: E402
-    Agent,
-    ClientConnection,
-    Counter,
-    Gateway,
-    Host,
-    Record,
-    Registry,
-    Request,
-    encode,
-    make_settings,
-)
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins"))
+
+from deployment import Deployment, play  # noqa: E402
+from standins import Gateway, Request, encode  # noqa: E402
 
 GATEWAYS = 3
 HOSTS = 9
-ZONES = ("east-wing", "west-wing", "north-wing")
-CONNECTIONS = 10  # of the front to each gateway, with one request at a time
-PAUSE_S = 0.15  # mean time between two requests on a connection: about 27 requests a second at each gateway
-CUSTOMERS = 200
 CALM_S = 4.0
 BAD_CLIENTS = 12
 COMMANDS = 512  # of each bad client
@@ -47,7 +33,6 @@
 LAST_ANSWERS_S = 7.0
 MEMORY_LIMIT_KB = 192 * 1024
 MEMORY_CHECK_S = 0.02
-CLASSES = {"roster-read": (41, 5.0), "shift-update": (40, 6.0), "staff-notice": (19, 5.0)}
 WITH_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -93,108 +78,57 @@
             return
 
 
-class Run:
-    """The deployment, its load, and the platform's watch over the memory of the gateways."""
+class Scene:
+    """Bad clients beside ordinary load, and the platform's watch over the memory of the gateways."""
 
     def __init__(self) -> None:
-        self.folder = Path(tempfile.mkdtemp())
-        self.record = Record(Path(__file__).parent / "record.txt")
-        self.hosts = [Host(self.record, f"s-{index}", ZONES[index % 3], index // 5) for index in range(HOSTS)]
-        self.registry = Registry()
-        self.counter = Counter()
-        self.agents = [Agent(self.registry) for _ in range(GATEWAYS)]
-        self.gateways: list[Gateway] = []
-        self.requests: list[Request] = []
-        self.most_kb = dict.fromkeys((f"n{index}" for index in range(GATEWAYS)), 0)
+        self.deployment = Deployment(FOLDER, GATEWAYS, HOSTS)
+        self.most_kb = {gateway.name: 0 for gateway in self.deployment.gateways}
         self.killed: list[str] = []
-        self.is_loading = True
-
-    async def start(self) -> None:
-        """Start the stand-ins and the gateways."""
-        for server in (*self.hosts, self.counter, *self.agents):
-            await server.open()
-        for host in self.hosts:
-            self.registry.set(host.entry())
-        for index, agent in enumerate(self.agents):
-            gateway = Gateway(self.record, index, self.folder, self.counter, agent)
-            gateway.write_config(make_settings(GATEWAYS), self.registry.full())
-            self.gateways.append(gateway)
-        await asyncio.gather(*(gateway.start() for gateway in self.gateways))
-
-    async def play(self) -> None:
-        """Play the load and the disruption."""
+
+    async def play(self) -> int:
+        """Play the load and the disruption; return 1 if a gateway crashed, else 0."""
+        deployment = self.deployment
         watch = asyncio.ensure_future(self._watch_memory())
-        clients = [
-            asyncio.ensure_future(self._client(gateway))
-            for gateway in self.gateways
-            for _ in range(CONNECTIONS)
-        ]
+        deployment.start_ordinary_load()
         await asyncio.sleep(CALM_S)
-        bad_clients = [BadClient(self.gateways[0]) for _ in range(BAD_CLIENTS if WITH_TROUBLE else 0)]
+        bad_clients = [BadClient(deployment.gateways[0]) for _ in range(BAD_CLIENTS if WITH_TROUBLE else 0)]
         for bad_client in bad_clients:
             bad_client.start()
-        self.record.write(f"{len(bad_clients)} bad clients begin")
+        deployment.record.write(f"{len(bad_clients)} bad clients begin")
         await asyncio.sleep(REST_S)
-        self.is_loading = False
+        deployment.is_loading = False
         await asyncio.sleep(LAST_ANSWERS_S)
-        for task in (watch, *clients):
-            task.cancel()
+        watch.cancel()
         sent = sum(bad_client.bytes_sent for bad_client in bad_clients)
-        self.record.write(f"the bad clients wrote {sent / 1e6:.0f} MB")
-
-    async def _client(self, gateway: Gateway) -> None:
-        connection: ClientConnection | None = None
-        names = list(CLASSES)
-        while self.is_loading:
-            await asyncio.sleep(random.uniform(0, 2 * PAUSE_S))
-            if connection is None or not connection.is_open:
-                try:
-                    connection = await ClientConnection(self.record, gateway).open()
-                except OSError:
-                    continue
-            name = random.choices(names, [CLASSES[name][0] for name in names])[0]
-            timeout = CLASSES[name][1] * random.uniform(0.5, 1.0)
-            request = Request(f"{random.getrandbits(64):016x}", name, timeout, gateway.name)
-            self.requests.append(request)
-            connection.send(request, encode(request, random.randrange(100, 100 + CUSTOMERS), spread=GATEWAYS))
-            while connection.pending and connection.is_open:
-                await asyncio.sleep(0.005)
+        deployment.record.write(f"the bad clients wrote {sent / 1e6:.0f} MB")
+        return self._judge()
 
     async def _watch_memory(self) -> None:
         """Kill a gateway over its memory limit, as the platform does."""
         while True:
             await asyncio.sleep(MEMORY_CHECK_S)
-            for gateway in self.gateways:
+            for gateway in self.deployment.gateways:
                 held_kb = _resident_kb(gateway)
                 self.most_kb[gateway.name] = max(self.most_kb[gateway.name], held_kb)
                 if held_kb > MEMORY_LIMIT_KB and gateway.name not in self.killed:
                     self.killed.append(gateway.name)
-                    self.record.write(f"gateway {gateway.name} holds {held_kb} kB: killed for memory")
+                    self.deployment.record.write(
+                        f"gateway {gateway.name} holds {held_kb} kB: killed for memory"
+                    )
                     gateway.signal(signal.SIGKILL)
 
-    async def end(self) -> None:
-        """End all processes and stand-ins."""
-        for gateway in self.gateways:
-            await gateway.end()
-        for server in (*self.hosts, self.counter, *self.agents):
-            await server.kill()
-
-    def judge(self) -> int:
+    def _judge(self) -> int:
         """Return 1 if a gateway was killed for memory or ended by itself, else 0."""
         ended = [
             gateway.name
-            for gateway in self.gateways
+            for gateway in self.deployment.gateways
             if gateway.process is not None and gateway.process.returncode is not None
         ]
-        outcomes = dict.fromkeys(("served", "refused", "failed", "open"), 0)
-        for request in self.requests:
-            outcomes[request.outcome] += 1
-        text = (
+        self.deployment.report(
             f"most memory in kB: {self.most_kb}, limit {MEMORY_LIMIT_KB}; killed for memory: {self.killed}; "
-            f"ended: {ended}; {len(self.requests)} requests of good clients: {outcomes}"
+            f"ended: {ended}; requests of good clients: {self.deployment.outcomes()}"
         )
-        self.record.write(text)
-        print(text)
         return 1 if self.killed or ended else 0
 
 
@@ -209,18 +143,9 @@
 
 
 async def main() -> int:
-    """Play the case; return 1 if the rule was broken, 2 if it could not run."""
-    run = Run()
-    try:
-        await run.start()
-        await run.play()
-        return run.judge()
-    except (OSError, RuntimeError) as error:
-        print(f"could not run: {error}")
-        return 2
-    finally:
-        await run.end()
-        run.record.close()
+    """Play the case."""
+    scene = Scene()
+    return await play(scene.deployment, scene.play)
 
 
 if __name__ == "__main__":
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -684,15 +684,6 @@
     return settings
 
 
-_ids = random.Random(20261204)
-
-
-def new_request(gateway: Gateway, service_class: str, timeout: float) -> tuple[Request, bytes]:
-    """Return a new request of a customer of its own, and its bytes; the customer's quota is untouched."""
-    request = Request(f"{_ids.getrandbits(64):016x}", service_class, timeout, gateway.name)
-    return request, encode(request, customer=_ids.getrandbits(32))
-
-
 def encode(
     request: Request, customer: int, plan: str = "standard", body: bytes = b"BODY", spread: int = 1
 ) -> bytes:
