Review: remove the temporary folder of a case at its end

Need: each run of a case left a temporary folder behind. Done: the deployment of the stand-ins removes it when it has ended everything.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -62,9 +62,9 @@
         self.registry = Registry()
         self.counter = Counter()
         self.agents = [Agent(self.registry) for _ in range(gateway_count)]
-        scratch = Path(tempfile.mkdtemp())
+        self._scratch = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
         self.gateways = [
-            Gateway(self.record, index, scratch, self.counter, agent)
+            Gateway(self.record, index, Path(self._scratch.name), self.counter, agent)
             for index, agent in enumerate(self.agents)
         ]
         self.requests: list[Request] = []
@@ -89,6 +89,7 @@
             await gateway.end()
         for server in (*self.hosts, self.counter, *self.agents):
             await server.kill()
+        self._scratch.cleanup()
 
     def start_ordinary_load(self) -> None:
         """Let ordinary clients send to all gateways for as long as `is_loading` is set."""
