--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Case 1: requests that a stopping gateway reads after it has failed all others.
 
-Two gateways are restarted with SIGTERM, one after another. Clients go on sending on the connections that stay
-open. A request that came whole to a host and whose connection the gateway then closes without an answer is
-lost.
+Three gateways are restarted with SIGTERM, one after another. Clients go on sending on the connections that
+stay open. A request that came whole to a host and whose connection the gateway then closes without an answer
+is lost.
 """
 
 from __future__ import annotations
@@ -20,15 +20,17 @@
 from deployment import Deployment, draw_request, play  # noqa: E402
 from standins import Attempt, ClientConnection, Gateway, encode  # noqa: E402
 
-GATEWAYS = 2
+GATEWAYS = 3
 HOSTS = 10
 CONNECTIONS = 10  # of the front to each gateway
-# First tries a second at each gateway: inside quotas the hosts' whole capacity (10 hosts of 4 cores, 0.24 s a
-# request: 166 a second), and 0.6 of that from two customers far beyond their quotas.
-INSIDE_RATE = 83.0
-HOT_RATE = 50.0
-HOT_CUSTOMERS = (1, 2)
-CUSTOMERS = range(100, 300)  # inside their quotas of 3 requests a second
+# Requests a second of each customer, whose quota is 3. Of 100 customers 12 ask for 4.8 times their quota, 10 use
+# nearly all of it, and the others half of it or less. Inside the quotas that is 166 a second, which is all that
+# 10 hosts of 4 cores can do at 0.24 s a request.
+CUSTOMER_RATES = {
+    **dict.fromkeys(range(12), 4.8 * 3.0),
+    **dict.fromkeys(range(12, 22), 2.9),
+    **dict.fromkeys(range(22, 100), 1.3),
+}
 RETRIES = 2  # of a refused request, at once
 RESTARTS = 12  # one after another
 LOAD_BEFORE_S = 2.0  # of load on a gateway before each SIGTERM
@@ -55,11 +57,11 @@
             self.tasks.append(asyncio.ensure_future(self._send_on(connection)))
 
     async def _send_on(self, connection: ClientConnection) -> None:
-        rate = (HOT_RATE + INSIDE_RATE) / CONNECTIONS
+        customers, rates = list(CUSTOMER_RATES), list(CUSTOMER_RATES.values())
+        mean_pause = GATEWAYS * CONNECTIONS / sum(rates)
         while self.is_sending and connection.is_open:
-            is_hot = random.random() < HOT_RATE / (HOT_RATE + INSIDE_RATE)
-            self._send(connection, random.choice(HOT_CUSTOMERS if is_hot else CUSTOMERS), RETRIES)
-            await asyncio.sleep(random.uniform(0, 2 / rate))
+            self._send(connection, random.choices(customers, rates)[0], RETRIES)
+            await asyncio.sleep(random.uniform(0, 2 * mean_pause))
 
     def _send(self, connection: ClientConnection, customer: int, retries: int) -> None:
         request = draw_request(self.gateway)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -43,6 +43,7 @@
         super().__init__(daemon=True)
         self.gateway = gateway
         self.bytes_sent = 0
+        self.is_cut_off = False  # the gateway has ended the connection
 
     def run(self) -> None:
         """Write for as long as the gateway reads, and go."""
@@ -50,7 +51,7 @@
         ends_at = time.monotonic() + GO_AFTER_S
         with socket.create_connection((self.gateway.address, self.gateway.port)) as sock:
             sock.settimeout(0.05)
-            while time.monotonic() < ends_at and self.bytes_sent < len(data):
+            while time.monotonic() < ends_at and self.bytes_sent < len(data) and not self.is_cut_off:
                 self._send_some(sock, data)
                 self._read_some(sock)
 
@@ -69,7 +70,7 @@
         except TimeoutError:
             return
         except OSError:
-            self.bytes_sent = len(data)  # the gateway has ended the connection
+            self.is_cut_off = True
 
     def _read_some(self, sock: socket.socket) -> None:
         try:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -29,6 +30,7 @@
 CONNECTIONS = 10  # of the ordinary clients to each gateway, with one request at a time
 PAUSE_S = 0.15  # mean time between two requests on one of them: about 27 requests a second at each gateway
 CUSTOMERS = range(100, 300)
+LAG_PROBE_S = 0.02
 
 
 def draw_class() -> tuple[str, float]:
@@ -69,6 +71,8 @@
         ]
         self.requests: list[Request] = []
         self.is_loading = True
+        self.most_lag_s = 0.0  # by which the stand-ins' own loop was late
+        self._lag_probe: asyncio.Task[None] | None = None
         self._clients: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -80,9 +84,18 @@
         for gateway in self.gateways:
             gateway.write_config(make_settings(len(self.gateways)), self.registry.full())
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
+        self._lag_probe = asyncio.ensure_future(self._probe_lag())
+
+    async def _probe_lag(self) -> None:
+        while True:
+            due_at = time.monotonic() + LAG_PROBE_S
+            await asyncio.sleep(LAG_PROBE_S)
+            self.most_lag_s = max(self.most_lag_s, time.monotonic() - due_at)
 
     async def end(self) -> None:
         """End all processes and stand-ins."""
+        if self._lag_probe is not None:
+            self._lag_probe.cancel()
         for client in self._clients:
             client.cancel()
         for gateway in self.gateways:
