--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,9 +23,9 @@
 GATEWAYS = 3
 HOSTS = 10
 CONNECTIONS = 10  # of the front to each gateway
-# Requests a second of each customer, whose quota is 3. Of 100 customers 12 ask for 4.8 times their quota, 10 use
-# nearly all of it, and the others half of it or less. Inside the quotas that is 166 a second, which is all that
-# 10 hosts of 4 cores can do at 0.24 s a request.
+# Requests a second of each customer, whose quota is 3. Of 100 customers 12 ask for 4.8 times their quota,
+# 10 use nearly all of it, and the others half of it or less. Inside the quotas that is 166 a second, all
+# that 10 hosts of 4 cores can do at 0.24 s a request.
 CUSTOMER_RATES = {
     **dict.fromkeys(range(12), 4.8 * 3.0),
     **dict.fromkeys(range(12, 22), 2.9),
