Reject what a stopping gateway reads once only the requests in flight are completed

Cause: the drain looked once. It waited until nothing was in flight or 3.4 s were over, failed the rest, and went on to the exit, while busy connections were still read and what came on them was accepted and forwarded. Failing a request also freed its host, on which the module then forwarded a waiting one that was failed next.

Requests are now accepted for as long as there is time for any of them, as gRPC calls were already. From then on the core rejects what is read and waits for what is in flight, no attempt begins once the drain is over, and what is unread in the sockets is read and answered before the connections are closed. Nothing can be accepted after the last look, since accepting ends before it.

--- a/apigateway/core/attempts.py
+++ b/apigateway/core/attempts.py
@@ -83,6 +83,8 @@
         limits = self._context.settings.limits
         if in_flight.is_finished:  # the request finished before this action was handled
             return False
+        if self._context.is_drained:  # the request is about to be failed
+            return False
         if number >= limits.max_attempts:
             return False
         return not in_flight.active_attempts or limits.can_hedge
--- a/apigateway/core/context.py
+++ b/apigateway/core/context.py
@@ -54,3 +54,5 @@
 
         self.is_ready = False  # whether any endpoint has been available since the start
         self.is_draining = False  # set by the daemon when a graceful shutdown begins
+        self.accepts_requests = True  # False while the last requests are drained: new ones are rejected
+        self.is_drained = False  # whether the drain is over, and no attempt may begin any more
--- a/apigateway/core/in_flight_table.py
+++ b/apigateway/core/in_flight_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 
 from apigateway import messages
@@ -57,26 +58,28 @@
         return in_flight.customer if in_flight is not None else getattr(event, "customer", "")
 
     def reserve(self, frontend: object, request: messages.Request) -> int | None:
-        """Check the capacity for a request, and register the request if it is a write.
+        """Check whether a request can be accepted, and register the request if it is a write.
 
         Returns:
-            The request's registry slot, or NOT_REGISTERED; None if there is no capacity.
+            The request's registry slot, or NOT_REGISTERED; None if it must be rejected.
 
         Raises:
             DuplicateRequestError: Another worker holds the request.
         """
-        has_capacity = (
-            self.request_budget.available_to(frontend) > 0 and self.body_budget.available_to(frontend) >= 0
+        can_accept = (
+            self._context.accepts_requests
+            and self.request_budget.available_to(frontend) > 0
+            and self.body_budget.available_to(frontend) >= 0
         )
         registry = self._context.in_flight_registry
         if registry is not None and request.is_write:
-            return self._register(registry, request, has_capacity)
-        return NOT_REGISTERED if has_capacity else None
+            return self._register(registry, request, can_accept)
+        return NOT_REGISTERED if can_accept else None
 
     def _register(
-        self, registry: InFlightRegistry, request: messages.Request, has_capacity: bool
+        self, registry: InFlightRegistry, request: messages.Request, can_accept: bool
     ) -> int | None:
-        if not has_capacity:
+        if not can_accept:
             # A rejection states that the write has not run, which is unknown if another worker holds it.
             if registry.is_held(request.request_id):
                 raise DuplicateRequestError
@@ -121,12 +124,9 @@
 
     async def wait_until_drained(self, seconds: float) -> bool:
         """Wait up to `seconds` until no request is in flight; return whether that is the case."""
-        if not self.requests:
-            return True
-        self.drained.clear()
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await self.drained.wait()
-        except TimeoutError:
-            return False
-        return True
+                while self.requests:  # others may have been accepted since the last one ended
+                    self.drained.clear()
+                    await self.drained.wait()
+        return not self.requests
--- a/apigateway/core/request_lifecycle.py
+++ b/apigateway/core/request_lifecycle.py
@@ -121,7 +121,9 @@
         upstream_request: UpstreamRequest,
         sink: ResponseSink,
     ) -> None:
-        """Accept a request; `sink` then gets exactly one response, immediately if there is no capacity.
+        """Accept a request; `sink` then gets exactly one response.
+
+        It is rejected immediately if there is no capacity, or only the requests in flight are completed.
 
         `request.remaining` is the client's timeout in seconds, less RESPONSE_MARGIN_S.
 
@@ -133,7 +135,7 @@
             raise DuplicateRequestError
         registry_slot = table.reserve(frontend, request)
         if registry_slot is None:
-            self.responses.reject_without_capacity(sink)
+            self.responses.reject_unaccepted(sink)
             return
         in_flight = table.add(frontend, request, upstream_request, sink, registry_slot)
         has_filters = self.plugins is not None or self.external_ratelimit is not None
@@ -187,8 +189,17 @@
         """Notify the decision module that an endpoint list could not be fetched."""
         self.endpoint_updates.on_list_failed()
 
+    async def wait_until_drained(self, seconds: float) -> bool:
+        """Wait up to `seconds` until no request is in flight; return whether that is the case."""
+        return await self.in_flight_table.wait_until_drained(seconds)
+
     async def drain(self, seconds: float) -> None:
-        """Wait up to `seconds` for the accepted requests, then fail those that are still in flight."""
-        if not await self.in_flight_table.wait_until_drained(seconds):
-            for in_flight in list(self.in_flight.values()):
-                self.responses.abort(in_flight)
+        """Reject new requests, wait up to `seconds` for those in flight, and fail the rest.
+
+        New requests are rejected because nobody would wait for their responses.
+        """
+        self.accepts_requests = False
+        await self.wait_until_drained(seconds)
+        self.is_drained = True
+        for in_flight in list(self.in_flight.values()):
+            self.responses.abort(in_flight)
--- a/apigateway/core/responses.py
+++ b/apigateway/core/responses.py
@@ -31,8 +31,8 @@
         self._events = events
         self._logs_times = log.isEnabledFor(logging.DEBUG)  # read once: it is asked for every response
 
-    def reject_without_capacity(self, sink: ResponseSink) -> None:
-        """Reject a request that was not accepted for lack of capacity, so that there is none to release."""
+    def reject_unaccepted(self, sink: ResponseSink) -> None:
+        """Reject a request that was not accepted, so that there is no capacity to release."""
         sink.reject(0.0)
 
     @overload
--- a/apigateway/daemon/graceful_shutdown.py
+++ b/apigateway/daemon/graceful_shutdown.py
@@ -27,6 +27,8 @@
 GRPC_SETTLE_S = 1.0
 # How long the rest of an incomplete RESP command may take to arrive once connections are draining.
 RESP_SETTLE_S = 0.25
+# How long before the deadline requests in flight fail, so that their responses are written and read in time.
+LAST_RESPONSES_TIME_S = 0.1
 
 
 async def close_listeners(
@@ -79,13 +81,21 @@
 def grpc_drain_time(core: RequestDispatcher, remaining: float) -> float:
     """Return the seconds for which gRPC calls are still accepted.
 
-    What is left of `remaining`, the seconds until the process must end, is enough to answer any request.
-
     Clients should open no more calls by then, but some have opened them before they read the GOAWAY and send
     them later. A refusal would be reported to their callers as a failure.
     """
+    return min(max(0.0, remaining), max(GRPC_SETTLE_S, acceptance_time(core, remaining)))
+
+
+def acceptance_time(core: RequestDispatcher, remaining: float) -> float:
+    """Return the seconds for which requests may be accepted: afterwards there is time to answer any request.
+
+    Args:
+        core: Knows how long a request may take.
+        remaining: Seconds until the process must end.
+    """
     longest_deadline = max(service_class.deadline for service_class in core.settings.classes.values())
-    return min(max(0.0, remaining), max(GRPC_SETTLE_S, remaining - longest_deadline))
+    return max(0.0, remaining - longest_deadline)
 
 
 async def complete_requests(
@@ -97,6 +107,10 @@
 ) -> None:
     """Close the frontends' listeners, and answer all accepted requests.
 
+    Clients may send on without a pause on connections that are busy. Their requests are served as long as
+    there is time for any request, and rejected afterwards: a request that is accepted while the process ends
+    would be lost.
+
     Args:
         core: Holds the requests in flight, and fails those that are not answered by the deadline.
         frontends: All frontends.
@@ -114,16 +128,38 @@
         *(frontend.wait_settled(grpc_drain_time(core, remaining)) for frontend in grpc_frontends),
         *(frontend.wait_settled(min(RESP_SETTLE_S, remaining)) for frontend in resp_frontends),
     )
-    await core.drain(deadline - time.monotonic())
-    # The last responses are written at the end of this loop iteration, if the socket buffers have room.
-    await asyncio.sleep(0)
-    while any(frontend.has_unwritten_responses for frontend in frontends) and time.monotonic() < deadline:
-        await asyncio.sleep(READ_INTERVAL_S)
+    await _wait_until_answered(core, frontends, acceptance_time(core, deadline - time.monotonic()))
+    await core.drain(deadline - LAST_RESPONSES_TIME_S - time.monotonic())
+    await _answer_unread_requests(frontends, deadline)
     await _wait_disconnected(grpc_frontends, min(GRPC_SETTLE_S, deadline - time.monotonic()))
     for frontend in frontends:
         frontend.close()
 
 
+async def _wait_until_answered(
+    core: RequestDispatcher, frontends: Sequence[Frontend], timeout: float
+) -> None:
+    """Wait until no request is in flight or unread in a socket, for at most `timeout` seconds."""
+    deadline = time.monotonic() + timeout
+    while (remaining := deadline - time.monotonic()) > 0:
+        is_drained = await core.wait_until_drained(remaining)
+        if is_drained and not any(frontend.has_unread_requests for frontend in frontends):
+            return
+        await asyncio.sleep(READ_INTERVAL_S)
+
+
+async def _answer_unread_requests(frontends: Sequence[Frontend], deadline: float) -> None:
+    """Let the event loop read and reject the requests that have arrived, and write all responses.
+
+    However late the loop is, it reads once more what has arrived.
+    """
+    await asyncio.sleep(READ_INTERVAL_S)
+    while any(frontend.has_unread_requests or frontend.has_unwritten_responses for frontend in frontends):
+        if time.monotonic() >= deadline:
+            return
+        await asyncio.sleep(READ_INTERVAL_S)
+
+
 async def _wait_disconnected(frontends: Sequence[Frontend], timeout: float) -> None:
     """Wait until the clients have closed their connections, for at most `timeout` seconds.
 
--- a/apigateway/daemon/interfaces.py
+++ b/apigateway/daemon/interfaces.py
@@ -54,6 +54,10 @@
     def pending_connection_count(self) -> int:
         """How many connections wait to be accepted."""
 
+    @property
+    def has_unread_requests(self) -> bool:
+        """Whether a connection has received bytes that wait to be read or parsed."""
+
     @property
     def has_unwritten_responses(self) -> bool:
         """Whether a response has not been written completely."""
--- a/apigateway/frontends/grpc/connection.py
+++ b/apigateway/frontends/grpc/connection.py
@@ -18,6 +18,7 @@
 )
 from apigateway.frontends.grpc.methods import OpenCall, StreamHandler, StreamingMethod, UnaryMethod
 from apigateway.frontends.grpc.server_session import ServerSession
+from apigateway.upstream import socket_state
 from apigateway.upstream.rpc import GrpcStatus
 
 # How long to wait for the client to close a finished connection.
@@ -190,6 +191,13 @@
             self._is_close_scheduled = True
             asyncio.get_running_loop().call_later(CLIENT_CLOSE_TIMEOUT_S, self.transport.close)
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether the socket holds unread bytes."""
+        if self.transport.is_closing():
+            return False
+        return socket_state.has_unread_data(self.transport.get_extra_info("socket"))
+
     @property
     def has_unwritten_responses(self) -> bool:
         """Whether responses wait for the client to read or to open its flow control window."""
--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -290,6 +290,11 @@
         for connection in list(self.connections):
             connection.finish_draining()
 
+    @property
+    def has_unread_requests(self) -> bool:
+        """Whether a connection's socket holds unread bytes."""
+        return any(connection.has_unread_data for connection in self.connections)
+
     @property
     def has_unwritten_responses(self) -> bool:
         """Whether a connection has not written a response completely."""
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -329,6 +329,12 @@
         self.server.idle_since[self] = monotonic()
         return True
 
+    def has_unread_commands(self) -> bool:
+        """Return whether received bytes wait to be read from the socket or to be parsed."""
+        if self.is_framing_lost or self.transport.is_closing():
+            return False
+        return self.is_deferred or self.has_unread_data()
+
     def has_unread_data(self) -> bool:
         """Return whether the socket holds unread bytes."""
         return socket_state.has_unread_data(self.transport.get_extra_info("socket"))
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -120,6 +120,11 @@
         while self.server.partial_bytes and monotonic() < deadline:
             await asyncio.sleep(PARTIAL_COMMAND_CHECK_INTERVAL_S)
 
+    @property
+    def has_unread_requests(self) -> bool:
+        """Whether a connection has received bytes that wait to be read or parsed."""
+        return self.server.has_unread_commands
+
     @property
     def has_unwritten_responses(self) -> bool:
         """Whether a response is not completely written."""
@@ -130,7 +135,7 @@
         await self.server.wait_disconnected()
 
     def close(self) -> None:
-        """Stop the timers and release this frontend's share of the capacity."""
+        """Close all connections and release this frontend's share of the capacity."""
         self.server.close()
         self.core.unregister_frontend(self)
 
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -113,10 +113,12 @@
             await self._all_disconnected
 
     def close(self) -> None:
-        """Stop the timers."""
+        """Stop the timers and close all connections; what they have not read stays unread."""
         for timer in (self._sweep_timer, self._disconnect_check_timer):
             if timer is not None:
                 timer.cancel()
+        for connection in list(self.connections):
+            connection.transport.close()
 
     @property
     def has_pending_connections(self) -> bool:
@@ -131,6 +133,11 @@
     def _listening_sockets(self) -> Sequence[socket.socket]:
         return self._listener.sockets if self._listener is not None else ()
 
+    @property
+    def has_unread_commands(self) -> bool:
+        """Whether a connection has received bytes that wait to be read or parsed."""
+        return any(connection.has_unread_commands() for connection in self.connections)
+
     @property
     def has_unwritten_responses(self) -> bool:
         """Whether a response is not completely written."""
--- a/tests/core/test_in_flight_table.py
+++ b/tests/core/test_in_flight_table.py
@@ -115,3 +115,41 @@
     asyncio.run(harness.core.drain(0.01))
     assert sink.answers == ["failed"] and not harness.core.in_flight
     assert harness.upstream.sent[0].result == "connect_failed"
+
+
+def test_request_during_the_drain_is_rejected_and_those_in_flight_are_waited_for():
+    harness = DispatcherHarness()
+    first_sink = harness.submit("a", [messages.ForwardRequest("a", "h1")])
+
+    harness.core.is_draining = True
+
+    async def submit_while_draining():
+        drain = asyncio.ensure_future(harness.core.drain(60.0))
+        await asyncio.sleep(0)
+        late_sink = harness.submit("b", [messages.ForwardRequest("b", "h1")])
+        late_check_sink = RecordingCheckSink()
+        harness.core.submit_check("front", make_quota_check("c"), late_check_sink)
+        assert late_sink.answers == late_check_sink.answers == ["refused"] and not drain.done()
+        harness.module.next_actions = []
+        harness.upstream.sent[0].end("ok")
+        await drain
+
+    asyncio.run(submit_while_draining())
+    assert first_sink.answers == ["served"] and len(harness.upstream.sent) == 1
+
+
+def test_waiting_request_when_the_end_of_the_drain_frees_its_host_then_is_not_forwarded():
+    # Guards against attempts that begin only to be cancelled, although the request may then have run.
+    harness = DispatcherHarness()
+    first_sink = harness.submit("a", [messages.ForwardRequest("a", "h1")])
+    waiting_sink = harness.submit("b")
+    harness.upstream.sent[0].is_written = True
+
+    def handle(now, event):
+        is_host_free = isinstance(event, messages.AttemptOutcome) and event.request_id == "a"
+        return [messages.ForwardRequest("b", "h1")] if is_host_free else []
+
+    harness.module.handle = handle
+    asyncio.run(harness.core.drain(0.0))
+    assert first_sink.answers == waiting_sink.answers == ["failed"] and not harness.core.in_flight
+    assert [attempt.tag[0].request_id for attempt in harness.upstream.sent] == ["a"]
