Close only the sending side of a client's connection after its last response

Cause: the gateway closed a connection right after its last response. What the client sent from then on was answered with a reset, and a client that is late in reading drops what it has received and not read: asyncio's streams do so at their next write. The test forces that crossing.

Now the sending side is closed after the last response, nothing more is read, and the client closes the rest: it gets a second, in a shutdown 0.25 s within the time for it. A reset can then only follow the end of the stream, which the client reads after its responses.

--- a/apigateway/daemon/graceful_shutdown.py
+++ b/apigateway/daemon/graceful_shutdown.py
@@ -27,6 +27,8 @@
 GRPC_SETTLE_S = 1.0
 # How long the rest of an incomplete RESP command may take to arrive once connections are draining.
 RESP_SETTLE_S = 0.25
+# How long RESP clients get to read their last responses and close their connections.
+RESP_CLOSE_TIME_S = 0.25
 # How long before the deadline requests in flight fail, so that their responses are written and read in time.
 LAST_RESPONSES_TIME_S = 0.1
 
@@ -131,7 +133,11 @@
     await _wait_until_answered(core, frontends, acceptance_time(core, deadline - time.monotonic()))
     await core.drain(deadline - LAST_RESPONSES_TIME_S - time.monotonic())
     await _answer_unread_requests(frontends, deadline)
-    await _wait_disconnected(grpc_frontends, min(GRPC_SETTLE_S, deadline - time.monotonic()))
+    remaining = deadline - time.monotonic()
+    await asyncio.gather(
+        _wait_disconnected(grpc_frontends, min(GRPC_SETTLE_S, remaining)),
+        _wait_disconnected(resp_frontends, min(RESP_CLOSE_TIME_S, remaining)),
+    )
     for frontend in frontends:
         frontend.close()
 
@@ -163,7 +169,7 @@
 async def _wait_disconnected(frontends: Sequence[Frontend], timeout: float) -> None:
     """Wait until the clients have closed their connections, for at most `timeout` seconds.
 
-    Closing a socket with unread bytes resets the connection, which can discard the last responses.
+    A closed socket answers what a client still sends with a reset, which can discard the last responses.
     """
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(timeout):
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -1,8 +1,8 @@
 """One RESP2 client connection: it reads commands and writes responses in the order of the commands.
 
 A connection is busy (it has pending commands), idle (it has none, but may have received part of one) or
-closing (its last byte is written or being written). `server.py` limits the number of connections and how
-long they stay idle or closing.
+closing (its last byte is written or being written, and the client has not closed it yet). `server.py` limits
+the number of connections and how long they stay idle or closing.
 """
 
 from __future__ import annotations
@@ -135,6 +135,9 @@
         self.received_at = 0.0  # when data was last received, by the admission controller's clock
         self.is_closing = False  # it closes once no command is pending
         self.is_framing_lost = False  # no further input can be parsed
+        self.is_half_closed = (
+            False  # the sending side is closed after the last response, so nothing more is read
+        )
         self.is_write_blocked = False
         self.is_read_paused = False
         self.is_deferred = False  # buffered commands wait for a later event loop iteration
@@ -243,9 +246,15 @@
             self.flush()
 
     def _update_reading(self) -> None:
-        """Pause reading while writing is blocked, input is deferred or too many commands are pending."""
+        """Pause reading while writing is blocked, input is deferred or too many commands are pending.
+
+        A half-closed connection is not read any more, unless its input is dropped after a framing error.
+        """
         is_paused = (
-            self.is_write_blocked or self.is_deferred or len(self.pending_slots) >= MAX_PENDING_COMMANDS
+            self.is_write_blocked
+            or self.is_deferred
+            or len(self.pending_slots) >= MAX_PENDING_COMMANDS
+            or (self.is_half_closed and not self.is_framing_lost)
         )
         if is_paused == self.is_read_paused or self.transport.is_closing():
             return
@@ -297,7 +306,7 @@
 
     def on_idle_timeout(self) -> None:
         """Close a connection that was idle for too long, unless it has unread input."""
-        if self.transport.is_closing() or self.is_deferred or self.has_unread_data():
+        if self.is_half_closed or self.transport.is_closing() or self.is_deferred or self.has_unread_data():
             return
         if self.partial_bytes:
             self._fail_connection(PARTIAL_COMMAND_TIMEOUT_RESPONSE)
@@ -311,6 +320,8 @@
         connection has accepted them. A connection with a partial command closes after the response to that
         command, or by the idle timeout if the rest does not arrive.
         """
+        if self.is_half_closed:
+            return
         self.is_closing = True
         is_busy_or_gone = bool(self.pending_slots) or self.transport.is_closing()
         if is_busy_or_gone or not (self.partial_bytes or self.has_unread_data()):
@@ -331,7 +342,7 @@
 
     def has_unread_commands(self) -> bool:
         """Return whether received bytes wait to be read from the socket or to be parsed."""
-        if self.is_framing_lost or self.transport.is_closing():
+        if self.is_half_closed or self.is_framing_lost or self.transport.is_closing():
             return False
         return self.is_deferred or self.has_unread_data()
 
@@ -357,8 +368,14 @@
         slot.respond(response)
 
     def _close(self) -> None:
+        """Close the sending side, and leave it to the client to close the connection, for a limited time.
+
+        A client may be sending just now, or still be reading the last responses. A closed socket would answer
+        what it sends with a reset, which can discard responses that it has not read.
+        """
         self.server.on_closing(self)
-        if self.is_framing_lost and not self.transport.is_closing():
-            self.transport.write_eof()  # closing with unread input is a reset, which can discard the error
-        else:
-            self.transport.close()
+        if self.transport.is_closing():
+            return
+        self.is_half_closed = True
+        self.transport.write_eof()
+        self._update_reading()
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -21,7 +21,7 @@
 
 # A connection without a pending command, or with a partial one, is closed after this time.
 IDLE_TIMEOUT_S = 2.2
-# Time limit for a closing connection to write its last bytes: the client may never read them.
+# Time limit for a closing connection to write its last bytes and be closed by the client, if it ever does so.
 CLOSING_TIMEOUT_S = 1.0
 # How long a client may leave its responses unread: it may never read them.
 WRITE_BLOCKED_TIMEOUT_S = 5.0
--- a/tests/frontends/resp/test_client_connection.py
+++ b/tests/frontends/resp/test_client_connection.py
@@ -15,6 +15,7 @@
     run_on_uvloop,
 )
 
+from apigateway.frontends.resp import server as resp_server
 from apigateway.frontends.resp.client_connection import MAX_PENDING_COMMANDS
 
 
@@ -215,3 +216,41 @@
         assert (await read_reply(reader)).startswith(b"-ERR protocol")
         assert await reader.read() == b""  # end of file instead of a reset, despite unread input
         assert await host.arrivals.get() is None and not harness.server.core.in_flight
+
+
+# Guards against responses that a client loses because its next commands cross the end of the connection.
+@run_on_uvloop
+async def test_client_that_sends_while_its_connection_is_closed_still_reads_its_responses(tmp_path):
+    async with EmulatedHost(None) as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        server = harness.server.frontends[0].server
+        writer.write(make_command(b"first"))
+        await host.arrivals.get()
+        writer.transport.pause_reading()  # a client whose loop is late
+        server.start_draining()
+        host.writers[0].write(VALUE)
+        while server.connections and not server.closing_since:
+            await asyncio.sleep(0)
+        for request_id in (b"second", b"third"):  # a reset answers the first one, and shows with the next one
+            writer.write(make_command(request_id))
+            await asyncio.sleep(0)
+        writer.transport.resume_reading()
+        assert await read_reply(reader) == VALUE_REPLY and await read_reply(reader) == b""
+        writer.close()
+        await server.wait_disconnected()
+        assert [command[2] for command in host.commands] == [b"first"]
+
+
+# Guards against connections that stay open because their clients never close them.
+@run_on_uvloop
+async def test_half_closed_connection_is_closed_if_its_client_never_closes_it(tmp_path, monkeypatch):
+    monkeypatch.setattr(resp_server, "CLOSING_TIMEOUT_S", 0.0)
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        writer.write(make_command())
+        assert await read_reply(reader) == VALUE_REPLY
+        server = harness.server.frontends[0].server
+        server.start_draining()
+        assert await read_reply(reader) == b""
+        await server.wait_disconnected()
+        assert not writer.transport.is_closing()
