Close a connection once answered that is established as its listener closes

Cause: uvloop reports an accepted connection one iteration after it accepts it. start_draining marks the connections that the server knows, and misses that one. on_connected now marks it if the server is draining.

--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -52,6 +52,7 @@
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
         self.admission: AdmissionController | None = None  # None if load shedding is off
+        self.is_draining = False
         self.partial_bytes = 0
         self.connections: set[ClientConnection] = set()
         self.idle_since: dict[ClientConnection, float] = {}  # oldest first
@@ -102,6 +103,7 @@
 
     def start_draining(self) -> None:
         """Close the listener, and each connection once its commands are answered."""
+        self.is_draining = True
         self.stop_accepting()
         for connection in list(self.connections):
             connection.close_when_answered()
@@ -155,6 +157,7 @@
             connection.transport.close()
             return
         self.on_idle(connection)
+        connection.is_closing = self.is_draining  # it was accepted just before the listener was closed
 
     def on_disconnected(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
--- a/tests/frontends/resp/test_client_connection.py
+++ b/tests/frontends/resp/test_client_connection.py
@@ -254,3 +254,21 @@
         assert await read_reply(reader) == b""
         await server.wait_disconnected()
         assert not writer.transport.is_closing()
+
+
+# Guards against a connection that stays open in a shutdown because it is established as the listener closes.
+@run_on_uvloop
+async def test_connection_that_is_established_as_the_listener_closes_ends_once_answered(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        server = harness.server.frontends[0].server
+        with socket.create_connection(("127.0.0.1", harness.port)) as sock:
+            sock.setblocking(False)
+            while server.has_pending_connections:
+                await asyncio.sleep(0)
+            assert not server.connections  # accepted, but not reported to the server yet
+            server.start_draining()
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, make_command())
+            assert await loop.sock_recv(sock, 100) == VALUE_REPLY
+            assert all(connection.is_closing for connection in server.connections)
+            assert await loop.sock_recv(sock, 100) == b""
