Let go of a request's body, and its share of the budget, with the final response

Cause: a finished request returned its bytes to the budget of bodies, while the response that waits for its turn on the connection still referred to the request and its body.

The body and its bytes are now let go in one step, InFlightTable.release_body, with the final response: no attempt begins after it. What the budget counts is then what is held. On the same path an active attempt kept the body of a request that was over, and a sent attempt kept the encoded request beside the body; both are gone.

--- a/apigateway/core/in_flight_request.py
+++ b/apigateway/core/in_flight_request.py
@@ -17,13 +17,13 @@
 
 
 class NoUpstreamRequest:
-    """The upstream request of a quota check, which is never sent."""
+    """The upstream request of a quota check and of a finished request: nothing is sent."""
 
     body_size = 0  # bytes
 
     def encode(self, remaining: float) -> bytes:
-        """Raise, because only the decision module answers a quota check."""
-        raise AssertionError("a quota check is never sent to an endpoint")
+        """Raise, because there is nothing to send to an endpoint."""
+        raise AssertionError("a quota check or a finished request is never sent to an endpoint")
 
 
 NO_UPSTREAM_REQUEST = NoUpstreamRequest()
@@ -35,7 +35,7 @@
     Attributes:
         request_id: Unique among the requests in flight.
         sink: Receives the final response.
-        upstream_request: Encodes the message that is sent to endpoints.
+        upstream_request: Encodes the message that is sent to endpoints; without its body once finished.
         frontend: Frontend whose capacity the request uses.
         deadline: Time by which the decision module must have decided, on the clock of `time.monotonic`.
         registry_slot: Slot in the in-flight registry; NOT_REGISTERED if the request has none.
--- a/apigateway/core/in_flight_table.py
+++ b/apigateway/core/in_flight_table.py
@@ -10,7 +10,7 @@
 from apigateway.core.budget import Budget
 from apigateway.core.context import CoreContext
 from apigateway.core.deadlines import RESPONSE_MARGIN_S
-from apigateway.core.in_flight_request import NOT_REGISTERED, InFlightRequest
+from apigateway.core.in_flight_request import NO_UPSTREAM_REQUEST, NOT_REGISTERED, InFlightRequest
 from apigateway.core.interfaces import InFlightRegistry, ResponseSink, UpstreamRequest
 from apigateway.core.outcomes import AcquireFailure
 
@@ -108,14 +108,23 @@
         self.body_budget.acquire(frontend, upstream_request.body_size)
         return in_flight
 
+    def release_body(self, in_flight: InFlightRequest) -> None:
+        """Release the body of a finished request, which no further attempt needs.
+
+        The request itself may be referenced for longer, by attempts that have not ended and by a response
+        that waits for its turn.
+        """
+        body_size = in_flight.upstream_request.body_size
+        in_flight.upstream_request = NO_UPSTREAM_REQUEST
+        self.body_budget.release(in_flight.frontend, body_size)
+
     def release_if_ended(self, in_flight: InFlightRequest) -> None:
-        """Release a request's capacity once it is finished and its last attempt has ended."""
+        """Release a request's place in the table once it is finished and its last attempt has ended."""
         if not in_flight.is_finished or in_flight.active_attempts:
             return
         if self.requests.pop(in_flight.request_id, None) is None:
             return
         self.request_budget.release(in_flight.frontend, 1)
-        self.body_budget.release(in_flight.frontend, in_flight.upstream_request.body_size)
         registry = self._context.in_flight_registry
         if registry is not None and in_flight.registry_slot >= 0:
             registry.release(in_flight.registry_slot)
--- a/apigateway/upstream/attempt.py
+++ b/apigateway/upstream/attempt.py
@@ -65,7 +65,7 @@
         self, endpoint_id: str, payload: bytes, on_ended: Callable[[Attempt], None], tag: Any = None
     ) -> None:
         self.endpoint_id = endpoint_id
-        self.payload = payload
+        self.payload = payload  # empty once it is passed to a connection
         self.on_ended = on_ended
         self.tag = tag
         self.started_at = monotonic()
--- a/apigateway/upstream/connection.py
+++ b/apigateway/upstream/connection.py
@@ -92,6 +92,7 @@
         self.idle_time = attempt.started_at - self.idle_since if self.idle_since else 0.0
         self.has_response_data = False
         self.transport.write(attempt.payload)
+        attempt.payload = b""  # the transport keeps what the socket has not accepted
         if self.transport.is_closing():  # the write failed at once, so the socket accepted nothing
             self.is_written = False
 
--- a/tests/core/test_responses.py
+++ b/tests/core/test_responses.py
@@ -25,3 +25,15 @@
     assert not harness.core.in_flight and sink.answers == []
     outcomes = [event for event in harness.module.events if isinstance(event, messages.AttemptOutcome)]
     assert [outcome.result for outcome in outcomes] == ["moot"]
+
+
+# Guards against a body that an attempt keeps until it ends, although no further attempt may need it.
+def test_body_is_released_with_the_final_response_although_an_attempt_is_active():
+    harness = DispatcherHarness()
+    sink = harness.submit("a", [messages.ForwardRequest("a", "h1")])
+    harness.upstream.sent[0].is_written = True
+    assert harness.core.body_budget.used
+    harness.module.next_actions = [messages.Reject("a")]
+    harness.core.dispatch(messages.DrainGateway(True))
+    assert sink.answers == ["refused"] and harness.core.in_flight
+    assert not harness.core.body_budget.used and not sink.token.upstream_request.body_size
--- a/tests/frontends/resp/test_resp_server.py
+++ b/tests/frontends/resp/test_resp_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 from gateway_harness import (
@@ -16,6 +17,11 @@
 )
 
 from apigateway.frontends.resp import server as resp_server
+from apigateway.upstream import framing
+from apigateway.upstream.framing import MAX_BODY_BYTES
+
+WRITE_FIELDS = b"c=write,t=p,d=3000,k=77,units=1,spread=1,first=0"
+MAX_READ_BYTES = 256 * 1024  # that the event loop reads at once
 
 
 @pytest.mark.parametrize(
@@ -98,3 +104,30 @@
         done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
         assert [task.result() for task in done] == [b"-ERR too much in work\r\n"]
         assert await harness.send_command(make_command()) == VALUE_REPLY
+
+
+# Guards against bodies that no limit counts: those of requests whose responses wait for an earlier one.
+@run_on_uvloop
+async def test_bodies_are_released_while_responses_wait_for_their_turn(tmp_path):
+    async with EmulatedHost(None) as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        writer.write(make_command(b"first"))
+        await host.arrivals.get()
+        host.answer = VALUE
+        count = 200
+        tracemalloc.start()
+        try:
+            body = b"x" * MAX_BODY_BYTES
+            for number in range(count):
+                writer.write(make_command(b"w%d" % number, WRITE_FIELDS, b"API.WRITE", body=body))
+            (connection,) = harness.server.frontends[0].server.connections
+            while sum(slot.response is not None for slot in connection.pending_slots) < count:
+                await asyncio.sleep(0)
+            parsed = tracemalloc.take_snapshot().filter_traces([tracemalloc.Filter(True, framing.__file__)])
+            held_bytes = sum(trace.size for trace in parsed.traces)
+        finally:
+            tracemalloc.stop()
+        # What the limits count, and what was read at once.
+        assert held_bytes < harness.server.core.body_budget.used + connection.partial_bytes + MAX_READ_BYTES
+        host.writers[0].write(VALUE)
+        assert await read_reply(reader) == VALUE_REPLY
