Play connections that are never idle in the soak of shutdowns

Need: the soak's clients wait for their answers, so each connection is idle at times and closes.

--busy-connections adds clients that send each 10 ms in the mean whatever is answered; plans, draws and checks of the old seeds are as they were.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 
 # Of `make soak`: the first seed, the number of seeds in a row, how many run at the same time, and further options
-# (--pauses).
+# (--pauses, --busy-connections).
 SEED ?= 1
 SEEDS ?= 50
 JOBS ?= 3
--- a/apigateway/tools/shutdown_soak/clients.py
+++ b/apigateway/tools/shutdown_soak/clients.py
@@ -20,6 +20,7 @@
 HALF_COMMAND_LIMIT_S = 3.0  # in which half a command gets its error or the end of its connection
 HALF_COMMAND_MARGIN_S = 0.5
 RECONNECT_PAUSE_S = 0.02
+MAX_BUSY_INTERVAL_S = 0.02  # between two requests on a connection that is never idle
 NEWCOMER_INTERVAL_S = 0.01
 EFFECTS = {"read": "safe", "write": "keyed", "note": "unsafe"}
 
@@ -61,6 +62,7 @@
             (self._send_half_a_command, plan.half_command_clients),
             (self._leave, plan.leaving_clients),
             (self._half_close, plan.half_closing_clients),
+            (self._keep_busy, plan.busy_connections),
         ):
             for _ in range(count):
                 self.run(client())
@@ -242,6 +244,14 @@
                 await connection.ended.wait()
             await asyncio.sleep(self._rng.uniform(0.05, 0.3))
 
+    async def _keep_busy(self) -> None:
+        """Send requests without waiting for answers, so that the connection is never idle."""
+        while True:
+            connection = await self.connect()
+            while connection is not None and connection.send(self.new_request()):
+                await asyncio.sleep(self._rng.uniform(0.0, MAX_BUSY_INTERVAL_S))
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+
     async def open_newcomers(self) -> None:
         """Open new connections with one request each, as long as the gateway accepts some."""
         while (connection := await self.connect()) is not None:
--- a/apigateway/tools/shutdown_soak/main.py
+++ b/apigateway/tools/shutdown_soak/main.py
@@ -1,4 +1,7 @@
-"""Run the soak: `python -m apigateway.tools.shutdown_soak.main --seed N [--runs N] [--jobs N] [--pauses]`."""
+"""Run the soak: `python -m apigateway.tools.shutdown_soak.main --seed N [--runs N] [--jobs N]`.
+
+With `--pauses` and `--busy-connections` the same plans are played with these in addition.
+"""
 
 from __future__ import annotations
 
@@ -7,11 +10,10 @@
 import sys
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
-from functools import partial
 
 import uvloop
 
-from apigateway.tools.shutdown_soak.plan import draw_plan
+from apigateway.tools.shutdown_soak.plan import SoakPlan, draw_plan
 from apigateway.tools.shutdown_soak.run import SoakResult, run_plan
 
 HEADING = f"{'seed':>6}  {'program':8}  {'requests':>8}  {'served':>6}  {'exit':>5}  {'kill':>5}  broken"
@@ -19,23 +21,23 @@
 SHOWN_LOG_LINES = 20
 
 
-def run_seeds(seeds: Sequence[int], jobs: int, has_pauses: bool = False) -> list[SoakResult]:
-    """Run the plans of seeds, `jobs` at a time, and print a line for each.
+def run_plans(plans: Sequence[SoakPlan], jobs: int) -> list[SoakResult]:
+    """Run plans, `jobs` at a time, and print a line for each.
 
     Each runs in a process of its own, so that the clients and hosts of one do not hold up those of another.
     """
     context = multiprocessing.get_context("spawn")
     results = []
     with ProcessPoolExecutor(jobs, mp_context=context) as executor:
-        for result in executor.map(partial(run_seed, has_pauses=has_pauses), seeds):
+        for result in executor.map(play, plans):
             print(format_result(result), flush=True)
             results.append(result)
     return results
 
 
-def run_seed(seed: int, has_pauses: bool = False) -> SoakResult:
-    """Run the plan of a seed."""
-    return uvloop.run(run_plan(draw_plan(seed, has_pauses)))
+def play(plan: SoakPlan) -> SoakResult:
+    """Run a plan on an event loop of its own."""
+    return uvloop.run(run_plan(plan))
 
 
 def format_result(result: SoakResult) -> str:
@@ -50,7 +52,9 @@
     if not result.breaches:
         return line
     details = [f"    {breach}" for breach in result.breaches[:SHOWN_BREACHES]]
-    options = f"--seed {plan.seed}" + (" --pauses" if plan.pauses else "")
+    options = f"--seed {plan.seed}"
+    options += " --pauses" if plan.pauses else ""
+    options += " --busy-connections" if plan.busy_connections else ""
     details.append(f"  plan (replay it with {options}):\n{plan}")
     details += [f"    log: {log_line}" for log_line in result.log_lines[-SHOWN_LOG_LINES:]]
     return "\n".join([line, *details])
@@ -63,14 +67,16 @@
     parser.add_argument("--runs", type=int, default=1, help="runs, with seeds in a row")
     parser.add_argument("--jobs", type=int, default=1, help="runs at the same time")
     parser.add_argument("--pauses", action="store_true", help="pause the gateway during the load and its end")
+    parser.add_argument("--busy-connections", action="store_true", help="keep some connections always busy")
     parser.add_argument("--plan", action="store_true", help="print the plans and run nothing")
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.runs)
+    plans = [draw_plan(seed, options.pauses, options.busy_connections) for seed in seeds]
     if options.plan:
-        print("\n".join(f"seed {seed}:\n{draw_plan(seed, options.pauses)}" for seed in seeds))
+        print("\n".join(f"seed {plan.seed}:\n{plan}" for plan in plans))
         return 0
     print(HEADING)
-    results = run_seeds(seeds, options.jobs, options.pauses)
+    results = run_plans(plans, options.jobs)
     broken = [result for result in results if result.breaches]
     nearest = min(results, key=lambda result: result.plan.kill_after_s - result.exit_s)
     print(
--- a/apigateway/tools/shutdown_soak/plan.py
+++ b/apigateway/tools/shutdown_soak/plan.py
@@ -19,6 +19,7 @@
 PAUSE_LENGTHS_S = (0.14, 0.3, 0.6)  # just within what the platform's pages allow; and beyond it
 SHUTDOWN_PAUSE_SHARE = 0.5  # of the runs with pauses
 MAX_SHUTDOWN_PAUSE_DELAY_S = 0.5
+MAX_BUSY_CONNECTIONS = 10
 CROWD_SHARE = 0.25
 CROWD_SIZE = 150  # more than CROWD_DESCRIPTORS
 CROWD_DESCRIPTORS = 128  # of a gateway that a crowd fills
@@ -97,6 +98,7 @@
         silent_counter_at_s: When the counter falls silent; None if it does not.
         silent_watches_at_s: When the open watches fall silent; None if they do not.
         pauses: Pauses of the gateway one after another. At most one begins after `load_s`.
+        busy_connections: Connections that always have a request in flight, so that they are never idle.
     """
 
     seed: int
@@ -117,6 +119,7 @@
     leaving_clients: int
     half_closing_clients: int
     pauses: tuple[Pause, ...] = ()
+    busy_connections: int = 0
 
     @property
     def kill_after_s(self) -> float:
@@ -136,9 +139,12 @@
         return "\n".join(f"  {field.name} = {getattr(self, field.name)}" for field in fields(self))
 
 
-def draw_plan(seed: int, has_pauses: bool = False) -> SoakPlan:
+def draw_plan(seed: int, has_pauses: bool = False, has_busy_connections: bool = False) -> SoakPlan:
     """Draw the plan of a seed; with pauses, it is the same plan with a longer load."""
     plan = _draw_plan_without_pauses(seed)
+    if has_busy_connections:
+        rng = random.Random(f"shutdown soak/busy connections/{seed}")
+        plan = replace(plan, busy_connections=rng.randint(1, MAX_BUSY_CONNECTIONS))
     if not has_pauses:
         return plan
     pauses = _draw_pauses(random.Random(f"shutdown soak/pauses/{seed}"), plan.load_s)
--- a/tests/tools/test_shutdown_soak.py
+++ b/tests/tools/test_shutdown_soak.py
@@ -13,6 +13,7 @@
 
 SEEDS = range(1, 25)
 PAUSE_SEEDS = range(101, 109)
+BUSY_CONNECTION_SEEDS = range(201, 207)
 # A program that listens, takes everything, answers nothing and ends at once when it is told to.
 LOSING_PROGRAM = """
 import re, signal, socket, sys, threading
@@ -46,6 +47,14 @@
     assert not result.breaches, format_result(result)
 
 
+# Guards against requests that a stopping gateway reads on busy connections, forwards, and never answers.
+@pytest.mark.parametrize("seed", BUSY_CONNECTION_SEEDS)
+@run_on_uvloop
+async def test_no_rule_is_broken_when_gateways_end_while_connections_are_never_idle(seed):
+    result = await run_plan(draw_plan(seed, has_busy_connections=True))
+    assert not result.breaches, format_result(result)
+
+
 def test_plan_with_pauses_is_the_same_but_for_them():
     plan, paused = draw_plan(7), draw_plan(7, has_pauses=True)
     assert paused.pauses and not plan.pauses
