--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -8,17 +8,17 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from time import monotonic
-from typing import TYPE_CHECKING, Any, Protocol, cast
+from typing import TYPE_CHECKING, cast
 
+from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.upstream import socket_state
-from apigateway.upstream.framing import NO_MESSAGE, Framing, FramingError, encode_bulk_string
+from apigateway.upstream.framing import NO_MESSAGE, Framing, FramingError
 
 if TYPE_CHECKING:
     from apigateway.core.admission import AdmissionController
-    from apigateway.frontends.grpc.tokens import Token
+    from apigateway.frontends.resp.interfaces import ConnectionOwner
 
 # Commands of one connection without a response. At this limit the connection is not read.
 MAX_PENDING_COMMANDS = 512
@@ -26,102 +26,11 @@
 # connection. A client that sends more wastes CPU and is aborted.
 MAX_DROPPED_BYTES = 256 * 1024
 
-FAILED_RESPONSE = b"-ERR failed\r\n"
-BUSY_RESPONSE = b"-BUSY\r\n"
 PROTOCOL_ERROR_RESPONSE = b"-ERR protocol error\r\n"
 PARTIAL_COMMANDS_LIMIT_RESPONSE = b"-ERR too much in work\r\n"
 PARTIAL_COMMAND_TIMEOUT_RESPONSE = b"-ERR command not finished in time\r\n"
 
 
-class CommandHandler(Protocol):
-    """Handles the commands of connections."""
-
-    def on_command(self, slot: ResponseSlot, command: object) -> None:
-        """Handle a command and send its response to `slot`."""
-
-    def on_client_disconnected(self, slot: ResponseSlot) -> None:
-        """Handle a client that disconnected before its response."""
-
-    def restore_token(self, slot: ResponseSlot) -> None:
-        """Make the token of a rejected request redeemable again."""
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs from its server."""
-
-    handler: CommandHandler
-    admission: AdmissionController | None
-    idle_since: dict[ClientConnection, float]
-
-    def on_connected(self, connection: ClientConnection) -> None:
-        """Register a new connection."""
-
-    def on_disconnected(self, connection: ClientConnection) -> None:
-        """Remove a closed connection."""
-
-    def on_idle(self, connection: ClientConnection) -> None:
-        """Record that a connection has no pending command."""
-
-    def on_closing(self, connection: ClientConnection) -> None:
-        """Record that a connection has written its last byte or is writing it."""
-
-    def on_write_blocked(self, connection: ClientConnection) -> None:
-        """Record that the write buffer is full because the client does not read."""
-
-    def on_write_resumed(self, connection: ClientConnection) -> None:
-        """Record that the client reads again."""
-
-    def on_read_paused(self, connection: ClientConnection) -> None:
-        """Record that a connection is not read, so that a disconnect must be polled for."""
-
-    def update_partial_bytes(self, connection: ClientConnection, size: int) -> bool:
-        """Update the total of partial command bytes; return False if it exceeds the limit."""
-
-    def may_defer(self, connection: ClientConnection) -> bool:
-        """Return whether there is memory to defer received commands."""
-
-
-class ResponseSlot:
-    """Holds the response of one command until its turn to be written; a `ResponseSink` of the core."""
-
-    __slots__ = ("connection", "response", "token", "redeemed_token")
-
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
-        self.response: bytes | None = None
-        self.token: Any = None  # the core's in-flight record of the command
-        self.redeemed_token: Token | None = None  # the quota check's token sent with the command
-
-    def respond(self, response: bytes) -> None:
-        """Set the response, unless there is one, and write it once all earlier responses are written."""
-        if self.response is None:
-            self.response = response
-            self.connection.flush()
-
-    def is_client_connected(self) -> bool:
-        """Return whether the client is still there.
-
-        The end of a connection is read one poll after a request that arrived before it.
-        """
-        connection = self.connection
-        return not (connection.transport.is_closing() or connection.is_closed_by_peer())
-
-    def complete(self, value: bytes) -> None:
-        """Respond with the value from a host."""
-        self.respond(encode_bulk_string(value))
-
-    def reject(self, retry_after: float) -> None:
-        """Respond that the command did not run; retry after `retry_after` seconds, 0 if unknown."""
-        if self.redeemed_token is not None:
-            self.connection.server.handler.restore_token(self)
-        milliseconds = math.ceil(retry_after * 1000)
-        self.respond(b"-BUSY %d\r\n" % milliseconds if milliseconds > 0 else BUSY_RESPONSE)
-
-    def fail(self) -> None:
-        """Respond that the command failed and may have run."""
-        self.respond(FAILED_RESPONSE)
-
-
 class ClientConnection(asyncio.Protocol):
     """The asyncio protocol of one client connection."""
 
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -10,13 +10,13 @@
 
 from apigateway import messages
 from apigateway.core.request_lifecycle import DuplicateRequestError, RequestDispatcher
-from apigateway.frontends.resp.client_connection import FAILED_RESPONSE, ResponseSlot
 from apigateway.frontends.resp.command import (
     FIELDS_PART,
     FieldsCache,
     InvalidCommandError,
     parse_command,
 )
+from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.frontends.resp.server import RespServer
 from apigateway.upstream.address import Address
 
--- /dev/null
+++ b/apigateway/frontends/resp/interfaces.py
@@ -0,0 +1,60 @@
+"""What a client connection needs from its server and from whoever handles its commands.
+
+For annotations only: imported under TYPE_CHECKING, so that a running gateway does not load this module.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from apigateway.core.admission import AdmissionController
+from apigateway.frontends.resp.client_connection import ClientConnection
+from apigateway.frontends.resp.response_slot import ResponseSlot
+
+
+class CommandHandler(Protocol):
+    """Handles the commands of connections."""
+
+    def on_command(self, slot: ResponseSlot, command: object) -> None:
+        """Handle a command and send its response to `slot`."""
+
+    def on_client_disconnected(self, slot: ResponseSlot) -> None:
+        """Handle a client that disconnected before its response."""
+
+    def restore_token(self, slot: ResponseSlot) -> None:
+        """Make the token of a rejected request redeemable again."""
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs from its server."""
+
+    handler: CommandHandler
+    admission: AdmissionController | None
+    idle_since: dict[ClientConnection, float]
+
+    def on_connected(self, connection: ClientConnection) -> None:
+        """Register a new connection."""
+
+    def on_disconnected(self, connection: ClientConnection) -> None:
+        """Remove a closed connection."""
+
+    def on_idle(self, connection: ClientConnection) -> None:
+        """Record that a connection has no pending command."""
+
+    def on_closing(self, connection: ClientConnection) -> None:
+        """Record that a connection has written its last byte or is writing it."""
+
+    def on_write_blocked(self, connection: ClientConnection) -> None:
+        """Record that the write buffer is full because the client does not read."""
+
+    def on_write_resumed(self, connection: ClientConnection) -> None:
+        """Record that the client reads again."""
+
+    def on_read_paused(self, connection: ClientConnection) -> None:
+        """Record that a connection is not read, so that a disconnect must be polled for."""
+
+    def update_partial_bytes(self, connection: ClientConnection, size: int) -> bool:
+        """Update the total of partial command bytes; return False if it exceeds the limit."""
+
+    def may_defer(self, connection: ClientConnection) -> bool:
+        """Return whether there is memory to defer received commands."""
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -13,11 +13,12 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from apigateway.frontends.resp.client_connection import ClientConnection, CommandHandler
+from apigateway.frontends.resp.client_connection import ClientConnection
 from apigateway.upstream import socket_state
 
 if TYPE_CHECKING:
     from apigateway.core.admission import AdmissionController
+    from apigateway.frontends.resp.interfaces import CommandHandler
 
 # A connection without a pending command, or with a partial one, is closed after this time.
 IDLE_TIMEOUT_S = 2.2
--- a/tests/faults/test_frontends.py
+++ b/tests/faults/test_frontends.py
@@ -19,7 +19,7 @@
 from apigateway import messages
 from apigateway.daemon.config import read_config
 from apigateway.daemon.gateway_server import GatewayServer
-from apigateway.frontends.resp.client_connection import ResponseSlot
+from apigateway.frontends.resp.response_slot import ResponseSlot
 
 
 class TwoFrontendGateway:
