--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -44,9 +44,7 @@
         self.received_at = 0.0  # when data was last received, by the admission controller's clock
         self.is_closing = False  # it closes once no command is pending
         self.is_framing_lost = False  # no further input can be parsed
-        self.is_half_closed = (
-            False  # the sending side is closed after the last response, so nothing more is read
-        )
+        self.is_half_closed = False  # the sending side is closed, and nothing more is read
         self.is_write_blocked = False
         self.is_read_paused = False
         self.is_deferred = False  # buffered commands wait for a later event loop iteration
