--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 JOBS ?= 3
 OPTIONS ?=
 
-.PHONY: demo test lint bench soak clean
+.PHONY: demo test lint bench soak hostile-soak clean
 
 demo: $(VENV)/ready
 	$(BIN)/python -m apigateway demo
@@ -23,6 +23,10 @@
 soak: $(VENV)/ready
 	$(BIN)/python -m apigateway.tools.shutdown_soak.main --seed $(SEED) --runs $(SEEDS) --jobs $(JOBS) $(OPTIONS)
 
+# Gateways beside clients that abuse them: floods, crowds, ids that come again. CI plays the first few seeds.
+hostile-soak: $(VENV)/ready
+	$(BIN)/python -m apigateway.tools.hostile_soak.main --seed $(SEED) --runs $(SEEDS) --jobs $(JOBS)
+
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/apigateway/emulators/hosts.py
+++ b/apigateway/emulators/hosts.py
@@ -29,6 +29,9 @@
 Answer = bytes | None | Callable[[], bytes | None]
 
 
+MILLISECONDS_PER_SECOND = 1000
+
+
 class Arrival(NamedTuple):
     """When a command arrived at the host's socket, by `time.monotonic`."""
 
@@ -206,6 +209,7 @@
             arrival.first_byte_at,
             self.work(command) if self.work else 0.0,
             arrival.last_byte_at,
+            int(fields(command).get("d", 0)) / MILLISECONDS_PER_SECOND,
         )
         return partial(self.ledger.record_attempt_end, number)
 
--- a/apigateway/emulators/ledger.py
+++ b/apigateway/emulators/ledger.py
@@ -79,6 +79,14 @@
                 id, gateway, self.clock(), timeout_s, customer, plan, service_class, units
             )
 
+    def record_repeat(self, id: str) -> None:
+        """Record that a client that had left sent the same request again, so that it waits for an answer."""
+        request = self.requests[id]
+        request.repeat_count += 1
+        request.sent_at = self.clock()
+        request.left_at = math.inf
+        request.disconnected_at = math.nan
+
     def record_answer(
         self,
         id: str,
@@ -158,6 +166,7 @@
         first_byte_at: float,
         work_s: float,
         last_byte_at: float = math.nan,
+        told_timeout_s: float = math.nan,
     ) -> int:
         """Record that an attempt arrived, from its first to its last byte; the last one now if not given.
 
@@ -166,7 +175,15 @@
         """
         self.attempts.append(
             Attempt(
-                id, host, service_class, cell, zone, first_byte_at, self._time_or_now(last_byte_at), work_s
+                id,
+                host,
+                service_class,
+                cell,
+                zone,
+                first_byte_at,
+                self._time_or_now(last_byte_at),
+                work_s,
+                told_timeout_s=told_timeout_s,
             )
         )
         return len(self.attempts) - 1
--- a/apigateway/emulators/ledger_records.py
+++ b/apigateway/emulators/ledger_records.py
@@ -112,6 +112,7 @@
         disconnect_trace: What its client knows of that connection, for the verdict on a lost request.
         left_at: When its client left; infinite if it has not.
         is_excused_unforwarded: Whether it needs no answer if it was not forwarded.
+        repeat_count: How often its client left and sent it again.
     """
 
     id: str
@@ -127,6 +128,7 @@
     disconnect_trace: str = ""
     left_at: float = math.inf
     is_excused_unforwarded: bool = False
+    repeat_count: int = 0
 
     @property
     def name(self) -> str:
@@ -145,6 +147,7 @@
         ended_at: When it ended; infinite if it has not.
         end_kind: How it ended, an `AttemptEnd`.
         value: The value that the host answered with.
+        told_timeout_s: How long it told the host that the gateway waits; NaN if that is not known.
     """
 
     id: str
@@ -158,6 +161,7 @@
     ended_at: float = math.inf
     end_kind: str = AttemptEnd.ACTIVE
     value: bytes = b""
+    told_timeout_s: float = math.nan
 
     @property
     def may_have_executed(self) -> bool:
--- /dev/null
+++ b/apigateway/tools/hostile_soak/plan.py
@@ -0,0 +1,107 @@
+"""The plan of one run beside abusive clients, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, fields, replace
+
+from apigateway.emulators.hostile_clients import AbuseKind
+from apigateway.tools.shutdown_soak.plan import Pause, Program, SoakPlan, draw_plan
+
+FLOOD_CONNECTIONS = (1, 6, 20, 60)
+CROWD_CONNECTIONS = (200, 450, 900)
+STORM_CONNECTIONS = (5, 50)
+CROWDS = (AbuseKind.HALF_BODIES, AbuseKind.SLOW_BYTES, AbuseKind.IDLE_CROWD)
+DEADLINES_S = (1.0, 2.0, 3.0, 6.0)
+MAX_ABUSES = 3
+REST_S = 10.0  # after the last abuse, when the memory is compared with that of before
+PAUSE_S = 0.14
+PAUSE_SHARE = 0.25  # of the runs, as the next two
+REST_SHARE = 0.3
+REPEATING_CLIENTS_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Abuse:
+    """One kind of abuse, `at_s` seconds after the judged clients have started."""
+
+    kind: AbuseKind
+    connections: int
+    at_s: float
+    lasts_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostilePlan:
+    """One run.
+
+    Attributes:
+        base: The judged clients, the faults of hosts, and how the gateway ends.
+        abuses: What abusive clients do meanwhile.
+        repeating_clients: Clients that leave and send the same request again on a new connection.
+        departing_pipeliners: Clients that send many requests at once and leave.
+        has_rest: Whether the gateway gets REST_S before its end, after which its memory is judged.
+    """
+
+    base: SoakPlan
+    abuses: tuple[Abuse, ...]
+    repeating_clients: int = 0
+    departing_pipeliners: int = 0
+    has_rest: bool = False
+
+    def __str__(self) -> str:
+        own = [f"  {field.name} = {getattr(self, field.name)}" for field in fields(self)[1:]]
+        return "\n".join([str(self.base), *own])
+
+
+def draw_hostile_plan(seed: int) -> HostilePlan:
+    """Draw the plan of a seed."""
+    rng = random.Random(f"hostile soak/{seed}")
+    abuses = tuple(_draw_abuse(rng) for _ in range(rng.randint(1, MAX_ABUSES)))
+    ends_at_s = max(abuse.at_s + abuse.lasts_s for abuse in abuses)
+    has_rest = rng.random() < REST_SHARE
+    load_s = ends_at_s + REST_S if has_rest else rng.uniform(max(1.0, ends_at_s - 2.0), ends_at_s)
+    has_pause = rng.random() < PAUSE_SHARE
+    pauses = (Pause(round(abuses[0].at_s - PAUSE_S / 2, 3), PAUSE_S),) if has_pause else ()
+    has_repeats = rng.random() < REPEATING_CLIENTS_SHARE
+    return HostilePlan(
+        base=_base_plan(seed, rng, round(load_s, 3), pauses),
+        abuses=abuses,
+        repeating_clients=rng.randint(1, 4) if has_repeats else 0,
+        departing_pipeliners=rng.randint(0, 2),
+        has_rest=has_rest,
+    )
+
+
+def plan_of(seed: int, *abuses: Abuse, load_s: float, **changes: bool | int) -> HostilePlan:
+    """Return a plan with given abuses on the platform's program, and quiet hosts."""
+    rng = random.Random(f"hostile soak/base/{seed}")
+    base = _base_plan(seed, rng, load_s, ())
+    quiet = replace(base, program=Program.PLATFORM, host_faults=(), longest_deadline_s=2.0)
+    plan = HostilePlan(replace(quiet, silent_counter_at_s=None, silent_watches_at_s=None), abuses)
+    return replace(plan, **changes)  # type: ignore[arg-type]
+
+
+def _base_plan(seed: int, rng: random.Random, load_s: float, pauses: tuple[Pause, ...]) -> SoakPlan:
+    """Return a plan of the soak of shutdowns without early stops and without its small crowd."""
+    return replace(
+        draw_plan(seed),
+        early_stop=(),
+        crowd=None,
+        load_s=load_s,
+        longest_deadline_s=rng.choice(DEADLINES_S),
+        pauses=pauses,
+    )
+
+
+def _draw_abuse(rng: random.Random) -> Abuse:
+    kind = rng.choice(list(AbuseKind))
+    counts: tuple[int, ...]
+    if kind in CROWDS:
+        counts = CROWD_CONNECTIONS
+    elif kind == AbuseKind.CONNECT_STORM:
+        counts = STORM_CONNECTIONS
+    else:
+        counts = FLOOD_CONNECTIONS
+    at_s = round(rng.uniform(0.5, 2.0), 3)
+    return Abuse(kind, rng.choice(counts), at_s, round(rng.uniform(1.5, 4.0), 3))
--- a/apigateway/tools/shutdown_soak/clients.py
+++ b/apigateway/tools/shutdown_soak/clients.py
@@ -158,9 +158,9 @@
         if connection is None:
             self._ledger.excuse_unforwarded(request.id)
             return
-        await self._call(connection, request)
+        await self.call(connection, request)
 
-    async def _call(self, connection: SoakConnection, *requests: ClientRequest) -> bool:
+    async def call(self, connection: SoakConnection, *requests: ClientRequest) -> bool:
         """Send requests at once and wait for their answers; return whether the connection is still open."""
         if not connection.send(*requests):
             return False
@@ -184,7 +184,7 @@
         """Send one request after another on a connection, and open a new one when it ends."""
         while True:
             connection = await self.connect()
-            while connection is not None and await self._call(connection, self.new_request()):
+            while connection is not None and await self.call(connection, self.new_request()):
                 await asyncio.sleep(self._rng.uniform(0.0, 0.02))
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
@@ -194,7 +194,7 @@
             connection = await self.connect()
             while connection is not None:
                 requests = [self.new_request() for _ in range(self._rng.randint(2, 20))]
-                if not await self._call(connection, *requests):
+                if not await self.call(connection, *requests):
                     break
                 await asyncio.sleep(self._rng.uniform(0.0, 0.1))
             await asyncio.sleep(RECONNECT_PAUSE_S)
@@ -203,7 +203,7 @@
         """Rest between requests, also until the gateway ends the connection."""
         while True:
             connection = await self.connect()
-            while connection is not None and await self._call(connection, self.new_request()):
+            while connection is not None and await self.call(connection, self.new_request()):
                 await asyncio.sleep(self._rng.choice([0.05, 0.3, 1.0, 3.0]))
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
@@ -259,7 +259,7 @@
             await asyncio.sleep(NEWCOMER_INTERVAL_S)
 
     async def _call_and_leave(self, connection: SoakConnection) -> None:
-        if await self._call(connection, self.new_request()):
+        if await self.call(connection, self.new_request()):
             connection.leave()
 
     async def crowd(self, size: int, seconds: float) -> None:
--- a/apigateway/tools/shutdown_soak/run.py
+++ b/apigateway/tools/shutdown_soak/run.py
@@ -67,12 +67,12 @@
     """Play a plan with one gateway."""
     with pause_garbage_collection(), tempfile.TemporaryDirectory() as folder:
         async with Installation(plan, Path(folder)) as installation:
-            run = _Run(plan, installation)
+            run = SoakRun(plan, installation)
             await run.play()
             return run.result
 
 
-class _Run:
+class SoakRun:
     """The state of one run."""
 
     def __init__(self, plan: SoakPlan, installation: Installation) -> None:
@@ -100,7 +100,7 @@
                 await self._wait_until_signals_are_handled()
                 await self._send_signals(self.plan.early_stop)
             else:
-                await self._play_under_load()
+                await self.play_under_load()
             await self._wait_for_exit()
         finally:
             self._kill()
@@ -109,11 +109,12 @@
             if self.clients is not None:
                 await self.clients.stop()
             installation.ledger.loop_lag.stop()
-        self._judge()
+        self.judge()
 
     # Steps
 
-    async def _play_under_load(self) -> None:
+    async def play_under_load(self) -> None:
+        """Start the load and its faults, and end the gateway after a time."""
         async with asyncio.timeout(READY_TIMEOUT_S):
             await self._listens.wait()
         plan = self.plan
@@ -131,9 +132,13 @@
             clients.run(self._pause(pause))
         if plan.crowd is not None:
             clients.run(self._play_crowd(clients))
+        self.begin_disruptions(clients)
         await asyncio.sleep(plan.load_s)
         await self._send_signals(plan.signals)
 
+    def begin_disruptions(self, clients: SoakClients) -> None:
+        """Begin what another soak adds; called when the clients have started."""
+
     async def _pause(self, pause: Pause) -> None:
         """Pause the gateway's process."""
         await asyncio.sleep(pause.at_s)
@@ -154,12 +159,12 @@
         crowd = self.plan.crowd
         assert crowd is not None
         await asyncio.sleep(crowd.at_s)
-        before = self._descriptor_count()
+        before = self.descriptor_count()
         await clients.crowd(crowd.size, crowd.lasts_s)
         until = time.monotonic() + DESCRIPTOR_RELEASE_TIMEOUT_S
-        while self._stopped_at is None and self._descriptor_count() > before + DESCRIPTOR_SLACK:
+        while self._stopped_at is None and self.descriptor_count() > before + DESCRIPTOR_SLACK:
             if time.monotonic() > until:
-                count = self._descriptor_count()
+                count = self.descriptor_count()
                 self.result.breaches.append(f"{count} descriptors after a crowd, {before} before it")
                 return
             await asyncio.sleep(POLL_PERIOD_S)
@@ -211,7 +216,8 @@
             if READY_TEXT in self.result.log_lines[-1]:
                 self._listens.set()
 
-    def _descriptor_count(self) -> int:
+    def descriptor_count(self) -> int:
+        """Return how many descriptors the gateway holds."""
         try:
             return len(os.listdir(f"/proc/{self.process.pid}/fd"))
         except OSError:  # it has ended
@@ -219,7 +225,8 @@
 
     # Judgement
 
-    def _judge(self) -> None:
+    def judge(self) -> None:
+        """Add the broken rules to the result."""
         result = self.result
         ledger = self.installation.ledger
         result.request_count = len(ledger.requests)
