Divide the time for clients' input fairly among the connections

Cause: one read callback took up to 256 KiB of a connection, the loop's library read up to 32 such pieces of a socket in a turn, and every command in them was handled before any other connection, host or timer had its turn. The time slice of core/admission.py was on only with load shedding. A command that waited so had its time counted from when it was parsed, so hosts were told up to 0.36 s too much.

Why this works: all input goes through one scheduler (core/input_scheduler.py) for RESP2 and gRPC, on the platform too, with no setting. A connection is read 16 KiB at a time, is not read while commands of it wait, and gets slices of 0.1 to 0.5 ms of a turn of 3 ms, least time used first; between turns the loop polls all sockets and timers. A command's time counts from when its socket was last seen empty. Load shedding no longer has a slice of its own. test_commands_beyond_the_deferral_memory_are_handled_at_once is replaced: deferred commands are bounded now because their connection is not read, and the new test holds that bound and that all are answered.

Failed on the way: a first form without the bound by the turn's end ran over it by a slice; new connections behind 400 others waited for 200 ms until slices became shorter with their number.

--- a/apigateway/core/context.py
+++ b/apigateway/core/context.py
@@ -7,6 +7,7 @@
 
 from apigateway import messages
 from apigateway.core.clock import MonotonicUnixClock
+from apigateway.core.input_scheduler import InputScheduler
 from apigateway.core.interfaces import (
     DecisionModule,
     EndpointSource,
@@ -44,6 +45,7 @@
         self.counter = counter
         self.loop = loop
         self.clock = clock or MonotonicUnixClock()
+        self.input_scheduler = InputScheduler(loop)
 
         # Set by the daemon if the settings enable them.
         self.endpoint_source: EndpointSource | None = None
--- /dev/null
+++ b/apigateway/core/input_scheduler.py
@@ -0,0 +1,140 @@
+"""Divide the event loop's time for clients' input fairly among their connections.
+
+A connection that sends without pause could otherwise keep the loop busy until other clients' requests are
+past their deadlines. All frontends share one scheduler. It is a fair queue by virtual time, as in the
+completely fair scheduler of Linux: the connection whose input has used the least time goes first. One that
+was idle for a while starts a slice before those that wait, so it goes first and has saved up no more. A new
+one starts beside the first that waits.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+from apigateway.core.interfaces import Scheduler
+
+# Time for which queued input is handled in one iteration of the event loop.
+TURN_TIME_S = 0.003
+# Longest time for which one connection's input is handled before the next connection's. It is shorter, at
+# least MIN_SLICE_TIME_S, while so many connections wait that a round of slices would exceed ROUND_TIME_S.
+SLICE_TIME_S = 0.0005
+MIN_SLICE_TIME_S = 0.0001
+ROUND_TIME_S = 0.02
+# Time for which input is handled as it is read, without queueing, between two turns.
+IMMEDIATE_TIME_S = 0.001
+
+
+class ConnectionInput:
+    """The received input of one connection.
+
+    Args:
+        handle_input: Handles input until a time of the scheduler's clock, at least one command if there is
+            any; returns whether input is left.
+
+    Attributes:
+        virtual_time_s: The time that its input has used, counted from that of others when it was last idle;
+            None before its first input.
+        is_queued: Whether it waits for its turn. Its connection is not read meanwhile.
+    """
+
+    __slots__ = ("handle_input", "virtual_time_s", "is_queued")
+
+    def __init__(self, handle_input: Callable[[float], bool]) -> None:
+        self.handle_input = handle_input
+        self.virtual_time_s: float | None = None
+        self.is_queued = False
+
+
+class InputScheduler:
+    """Decides which connection's input is handled next, and for how long.
+
+    Args:
+        loop: The event loop.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(self, loop: Scheduler, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self._loop = loop
+        self._queue: list[tuple[float, int, ConnectionInput]] = []  # a heap by virtual time
+        self._numbers = itertools.count()
+        self._virtual_time_s = 0.0  # of the connection that was handled last; the least of all that wait
+        self._immediate_time_s = 0.0  # used since the last turn
+        self._is_turn_scheduled = False
+        self._current: ConnectionInput | None = None  # whose input is being handled
+
+    @property
+    def queue_length(self) -> int:
+        """How many connections have input that waits for its turn."""
+        return len(self._queue)
+
+    def handle(self, source: ConnectionInput) -> None:
+        """Handle a connection's input now, or in a later turn if there is no time now."""
+        if self._queue or self._immediate_time_s >= IMMEDIATE_TIME_S:
+            self.enqueue(source)
+            return
+        source.virtual_time_s = self._start_time_s(source)
+        started_at = self.clock()
+        slice_ends_at = started_at + SLICE_TIME_S
+        ended_at = self._run_slice(source, source.virtual_time_s, started_at, slice_ends_at)
+        self._immediate_time_s += ended_at - started_at
+        if self._immediate_time_s >= IMMEDIATE_TIME_S:
+            self._schedule_turn()
+
+    def enqueue(self, source: ConnectionInput) -> None:
+        """Handle a connection's input in a later turn."""
+        if source.is_queued or source is self._current:
+            return
+        source.is_queued = True
+        source.virtual_time_s = self._start_time_s(source)
+        heapq.heappush(self._queue, (source.virtual_time_s, next(self._numbers), source))
+        self._schedule_turn()
+
+    def run_turn(self) -> None:
+        """Handle queued input for TURN_TIME_S, least virtual time first."""
+        self._is_turn_scheduled = False
+        self._immediate_time_s = 0.0
+        now = self.clock()
+        turn_ends_at = now + TURN_TIME_S
+        try:
+            while self._queue and now < turn_ends_at:
+                virtual_time_s, _, source = heapq.heappop(self._queue)
+                self._virtual_time_s = max(self._virtual_time_s, virtual_time_s)
+                source.is_queued = False
+                slice_ends_at = min(now + self._slice_time_s(), turn_ends_at)
+                now = self._run_slice(source, virtual_time_s, now, slice_ends_at)
+        finally:  # input that raises must not block what is queued behind it
+            if self._queue:
+                self._schedule_turn()
+
+    def _run_slice(
+        self, source: ConnectionInput, virtual_time_s: float, started_at: float, until: float
+    ) -> float:
+        """Handle a connection's input until a time, queue what is left, and return the time."""
+        self._current = source
+        try:
+            has_more = source.handle_input(until)
+        finally:
+            self._current = None
+        ended_at = self.clock()
+        source.virtual_time_s = virtual_time_s + ended_at - started_at
+        if has_more:
+            self.enqueue(source)
+        return ended_at
+
+    def _slice_time_s(self) -> float:
+        waiting_count = len(self._queue) + 1
+        return max(MIN_SLICE_TIME_S, min(SLICE_TIME_S, ROUND_TIME_S / waiting_count))
+
+    def _start_time_s(self, source: ConnectionInput) -> float:
+        if source.virtual_time_s is None:
+            return self._virtual_time_s
+        return max(source.virtual_time_s, self._virtual_time_s - SLICE_TIME_S)
+
+    def _schedule_turn(self) -> None:
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self._loop.call_soon(self.run_turn)
--- a/apigateway/daemon/graceful_shutdown.py
+++ b/apigateway/daemon/graceful_shutdown.py
@@ -122,7 +122,6 @@
     """
     await close_listeners(frontends, deadline, close_sockets)
     await asyncio.sleep(READ_INTERVAL_S)
-    await _handle_deferred_commands(core, deadline)
     remaining = max(0.0, deadline - time.monotonic())
     grpc_frontends = [frontend for frontend in frontends if frontend.address in grpc_addresses]
     resp_frontends = [frontend for frontend in frontends if frontend.address not in grpc_addresses]
@@ -175,12 +174,3 @@
         async with asyncio.timeout(timeout):
             for frontend in frontends:
                 await frontend.wait_disconnected()
-
-
-async def _handle_deferred_commands(core: RequestDispatcher, deadline: float) -> None:
-    """Let the event loop handle the commands that were deferred while it was overloaded."""
-    admission = core.admission
-    if admission is None:
-        return
-    while admission.deferred_connections and time.monotonic() < deadline:
-        await asyncio.sleep(0)
--- a/apigateway/frontends/grpc/connection.py
+++ b/apigateway/frontends/grpc/connection.py
@@ -8,6 +8,7 @@
 from time import monotonic
 from typing import Protocol, cast
 
+from apigateway.core.input_scheduler import ConnectionInput, InputScheduler
 from apigateway.frontends.grpc.events import (
     CallCancelled,
     SessionEvent,
@@ -18,11 +19,14 @@
 )
 from apigateway.frontends.grpc.methods import OpenCall, StreamHandler, StreamingMethod, UnaryMethod
 from apigateway.frontends.grpc.server_session import ServerSession
+from apigateway.frontends.read_buffer import READ_BUFFER
 from apigateway.upstream import socket_state
 from apigateway.upstream.rpc import GrpcStatus
 
 # How long to wait for the client to close a finished connection.
 CLIENT_CLOSE_TIMEOUT_S = 0.5
+# Input that is handled before the next look at the clock. A frame can be as short as nine bytes.
+INPUT_PIECE_BYTES = 1024
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +34,10 @@
 class ConnectionOwner(Protocol):
     """What a connection needs from its frontend."""
 
+    @property
+    def input_scheduler(self) -> InputScheduler:
+        """Divides the time for input among the connections of all frontends."""
+
     @property
     def methods(self) -> Mapping[str, UnaryMethod]:
         """The unary methods by path."""
@@ -65,7 +73,7 @@
         """Update the total of partial message bytes; return False if it exceeds the limit."""
 
 
-class GrpcConnection(asyncio.Protocol):
+class GrpcConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one client connection."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -76,6 +84,9 @@
         self._stream_handlers: dict[int, StreamHandler] = {}  # the streaming calls among them
         self.partial_bytes = 0  # of partial messages, as last counted by the owner
         self.last_received_at = monotonic()
+        self._input = ConnectionInput(self._handle_input)
+        self._received = bytearray()  # waits for its turn
+        self._is_write_blocked = False
         self._is_reading = False  # responses set while reading are written together afterwards
         self._is_close_scheduled = False
 
@@ -101,9 +112,34 @@
         for call in open_calls.values():
             call.on_cancelled()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes and dispatch the calls to their methods."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which limits how much is read at once."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read, and handle it now or once it is this connection's turn."""
         self.last_received_at = monotonic()
+        self._received += READ_BUFFER[:nbytes]
+        self._owner.input_scheduler.handle(self._input)
+        if self._received and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def _handle_input(self, until: float) -> bool:
+        """Handle received bytes until a time, and return whether some are left."""
+        while self._received and not self.transport.is_closing():
+            piece = bytes(self._received[:INPUT_PIECE_BYTES])
+            del self._received[:INPUT_PIECE_BYTES]
+            self._receive(piece)
+            if self._received and self._owner.input_scheduler.clock() >= until:
+                break
+        if self.transport.is_closing():
+            self._received.clear()
+        if not self._received:
+            self._resume_reading()
+        return bool(self._received)
+
+    def _receive(self, data: bytes) -> None:
+        """Parse received bytes and dispatch the calls to their methods."""
         self._is_reading = True
         try:
             for event in self.session.receive(data):
@@ -122,14 +158,20 @@
 
     def pause_writing(self) -> None:
         """Stop reading from a client that does not read; the frontend aborts it after a timeout."""
+        self._is_write_blocked = True
         self._owner.on_write_blocked(self)
         if not self.transport.is_closing():
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Resume reading from a client that reads its responses again."""
+        self._is_write_blocked = False
         self._owner.on_write_resumed(self)
-        if not self.transport.is_closing():
+        if not self._received:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if not self._is_write_blocked and not self.transport.is_closing():
             self.transport.resume_reading()
 
     # Calls
@@ -193,10 +235,10 @@
 
     @property
     def has_unread_data(self) -> bool:
-        """Whether the socket holds unread bytes."""
+        """Whether received bytes wait to be read from the socket or to be handled."""
         if self.transport.is_closing():
             return False
-        return socket_state.has_unread_data(self.transport.get_extra_info("socket"))
+        return bool(self._received) or socket_state.has_unread_data(self.transport.get_extra_info("socket"))
 
     @property
     def has_unwritten_responses(self) -> bool:
--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -58,6 +58,7 @@
         max_partial_bytes: int = DEFAULT_MAX_PARTIAL_BYTES,
     ) -> None:
         self.core = core
+        self.input_scheduler = core.input_scheduler
         self.address = address
         self.port = address[1]
         self.tls_context: ssl.SSLContext | None = None
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -12,12 +12,13 @@
 from time import monotonic
 from typing import TYPE_CHECKING, cast
 
+from apigateway.core.input_scheduler import ConnectionInput
+from apigateway.frontends.read_buffer import READ_BUFFER, READ_BYTES
 from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.upstream import socket_state
 from apigateway.upstream.framing import NO_MESSAGE, Framing, FramingError
 
 if TYPE_CHECKING:
-    from apigateway.core.admission import AdmissionController
     from apigateway.frontends.resp.interfaces import ConnectionOwner
 
 # Commands of one connection without a response. At this limit the connection is not read.
@@ -31,7 +32,7 @@
 PARTIAL_COMMAND_TIMEOUT_RESPONSE = b"-ERR command not finished in time\r\n"
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one client connection."""
 
     def __init__(self, server: ConnectionOwner) -> None:
@@ -41,13 +42,17 @@
         self.pending_slots: deque[ResponseSlot] = deque()
         self.partial_bytes = 0  # of a partial command, as last counted by the server
         self.dropped_bytes = 0  # received after a framing error
-        self.received_at = 0.0  # when data was last received, by the admission controller's clock
+        self.received_at = 0.0  # when data was last read, by the input scheduler's clock
+        self.arrived_at = 0.0  # when the data that was last read may have arrived, at the earliest
+        self.unread_since = 0.0  # since when unread data may wait, if `may_have_unread`
+        self.may_have_unread = False  # the connection was not read, or not to the end
         self.is_closing = False  # it closes once no command is pending
         self.is_framing_lost = False  # no further input can be parsed
         self.is_half_closed = False  # the sending side is closed, and nothing more is read
         self.is_write_blocked = False
         self.is_read_paused = False
-        self.is_deferred = False  # buffered commands wait for a later event loop iteration
+        self.input = ConnectionInput(self._handle_input)
+        self.is_deferred = False  # complete commands may wait in the buffer
         self.is_reading_commands = False
         self.has_unflushed_responses = False  # responses that were set while reading commands
 
@@ -64,29 +69,41 @@
         self.cancel_pending()
 
     def eof_received(self) -> None:
-        """Cancel the pending commands: the client has disconnected.
+        """Cancel the pending commands, and drop those that are deferred: the client has disconnected.
 
         Unread responses may keep the connection open for longer.
         """
+        self.framing.clear()
         self.cancel_pending()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse commands, or defer them if the read time slice of this event loop iteration is used up."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which limits how much is read at once."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read, and handle it now or once it is this connection's turn."""
         if self.is_framing_lost:
-            self.dropped_bytes += len(data)
+            self.dropped_bytes += nbytes
             if self.dropped_bytes > MAX_DROPPED_BYTES:
                 self.transport.abort()
             return
-        self.framing.feed(data)
-        admission = self.server.admission
-        if admission is not None:
-            if self.is_deferred:
-                return
-            self.received_at = admission.clock()
-            if admission.is_time_slice_used_up and self.server.may_defer(self):
-                self._defer(admission)
-                return
-        self._read_commands(admission)
+        self.framing.feed(READ_BUFFER[:nbytes])
+        scheduler = self.server.input_scheduler
+        self._record_arrival(scheduler.clock(), nbytes == READ_BYTES)
+        scheduler.handle(self.input)
+        if self.input.is_queued and not self.is_deferred:
+            self._defer()
+
+    def _record_arrival(self, now: float, is_buffer_full: bool) -> None:
+        """Record when the data that was read may have arrived: since the socket was last seen empty."""
+        self.received_at = now
+        self.arrived_at = self.unread_since if self.may_have_unread else now
+        self.may_have_unread = is_buffer_full
+        self.unread_since = self.arrived_at
+
+    def waited_s(self) -> float:
+        """Return how long the commands that are being handled may have waited."""
+        return self.server.input_scheduler.clock() - self.arrived_at
 
     def pause_writing(self) -> None:
         """Stop reading from a client that does not read its responses."""
@@ -98,37 +115,68 @@
         """Resume reading from a client that reads its responses again."""
         self.is_write_blocked = False
         self.server.on_write_resumed(self)
+        self._resume_input()
         self._update_reading()
 
     # Commands
 
-    def _read_commands(self, admission: AdmissionController | None) -> None:
-        """Pass all complete commands to the handler."""
+    def _handle_input(self, until: float) -> bool:
+        """Pass complete commands to the handler until a time; return whether some wait for another turn."""
+        if self.is_framing_lost or self.is_half_closed or self.transport.is_closing():
+            self.is_deferred = False
+            return False
         self.is_reading_commands = True  # responses set meanwhile are written together
+        self.is_deferred = True
         try:
-            while (command := self.framing.next_message()) is not NO_MESSAGE:
-                slot = ResponseSlot(self)
-                self.pending_slots.append(slot)
-                self.server.idle_since.pop(self, None)
-                self.server.handler.on_command(slot, command)
-                if (
-                    admission is not None
-                    and admission.is_time_slice_used_up
-                    and self.framing.buffer
-                    and self.server.may_defer(self)
-                ):
-                    self._defer(admission)
-                    return
+            self.is_deferred = self._read_commands(until)
         except FramingError:
+            self.is_deferred = False
             self._end_reading_commands()
             self._fail_connection(PROTOCOL_ERROR_RESPONSE)
-            return
+            return False
         finally:
             self._end_reading_commands()
         if not self.server.update_partial_bytes(self, len(self.framing.buffer)):
+            self.is_deferred = False
             self._fail_connection(PARTIAL_COMMANDS_LIMIT_RESPONSE)
-            return
+            return False
+        if not self.pending_slots and not self.is_deferred:
+            self._on_all_answered()
         self._update_reading()
+        return self.is_deferred and self._can_read_commands()
+
+    def _on_all_answered(self) -> None:
+        """Restart the idle timeout, and close a closing connection, unless part of a command has arrived."""
+        if self.framing.buffer:
+            self.server.idle_since.setdefault(self, monotonic())
+        elif self.is_closing or self not in self.server.idle_since:
+            self.flush()
+
+    def _read_commands(self, until: float) -> bool:
+        """Read commands until a time, and return whether some may be left. Raises FramingError."""
+        clock = self.server.input_scheduler.clock
+        while self._can_read_commands():
+            command = self.framing.next_message()
+            if command is NO_MESSAGE:
+                return False
+            slot = ResponseSlot(self)
+            self.pending_slots.append(slot)
+            self.server.idle_since.pop(self, None)
+            self.server.handler.on_command(slot, command)
+            if not self.framing.buffer:
+                return False
+            if clock() >= until:
+                return True
+        return True
+
+    def _can_read_commands(self) -> bool:
+        """Return whether the client reads its responses, and not too many commands are pending."""
+        return not self.is_write_blocked and len(self.pending_slots) < MAX_PENDING_COMMANDS
+
+    def _resume_input(self) -> None:
+        """Have the deferred commands handled, if what they waited for has happened."""
+        if self.is_deferred and self._can_read_commands():
+            self.server.input_scheduler.enqueue(self.input)
 
     def _end_reading_commands(self) -> None:
         """Write the responses that were set while commands were read."""
@@ -137,21 +185,12 @@
             self.has_unflushed_responses = False
             self.flush()
 
-    def _defer(self, admission: AdmissionController) -> None:
-        """Defer the rest of the input to a later event loop iteration, and pause reading until then."""
+    def _defer(self) -> None:
+        """Stop reading until the commands in the buffer have been handled."""
         self.is_deferred = True
-        admission.deferred_connections.append(self._resume_deferred)
         self.server.update_partial_bytes(self, len(self.framing.buffer))
         self._update_reading()
 
-    def _resume_deferred(self) -> None:
-        self.is_deferred = False
-        if self.is_framing_lost or self.transport.is_closing():
-            return
-        self._read_commands(self.server.admission)
-        if self.is_closing and not self.pending_slots:
-            self.flush()
-
     def _update_reading(self) -> None:
         """Pause reading while writing is blocked, input is deferred or too many commands are pending.
 
@@ -167,6 +206,9 @@
             return
         self.is_read_paused = is_paused
         if is_paused:
+            if not self.may_have_unread:
+                self.may_have_unread = True
+                self.unread_since = self.server.input_scheduler.clock()
             self.transport.pause_reading()
             self.server.on_read_paused(self)
         else:
@@ -198,6 +240,7 @@
                 self._close()
                 return
         if self.is_read_paused:
+            self._resume_input()
             self._update_reading()
 
     # Closing
--- a/apigateway/frontends/resp/command.py
+++ b/apigateway/frontends/resp/command.py
@@ -104,7 +104,11 @@
 
 
 def parse_command(
-    settings: messages.Settings, command: object, cache: FieldsCache, group_size: int = 1
+    settings: messages.Settings,
+    command: object,
+    cache: FieldsCache,
+    group_size: int = 1,
+    waited_s: float = 0.0,
 ) -> tuple[messages.Request, UpstreamCommand]:
     """Validate a command and return its request and the command for hosts.
 
@@ -113,6 +117,7 @@
         command: A message parsed by `Framing`.
         cache: Fields that were validated with the same settings; it is updated.
         group_size: The number of gateways that clients see as one. `first` and `spread` count such groups.
+        waited_s: How long the command may have waited, of the time that its client waits.
 
     Raises:
         InvalidCommandError: The command is invalid.
@@ -130,7 +135,8 @@
         raise InvalidCommandError("wrong number of arguments")
     if is_write and len(command[BODY_PART]) > MAX_BODY_BYTES:
         raise InvalidCommandError("body too long")
-    return _parse_request(settings, command, is_write, cache, group_size), UpstreamCommand(command)
+    request = _parse_request(settings, command, is_write, cache, group_size, waited_s)
+    return request, UpstreamCommand(command)
 
 
 def parse_integer(text: bytes) -> int:
@@ -148,7 +154,12 @@
 
 
 def _parse_request(
-    settings: messages.Settings, command: list[bytes], is_write: bool, cache: FieldsCache, group_size: int
+    settings: messages.Settings,
+    command: list[bytes],
+    is_write: bool,
+    cache: FieldsCache,
+    group_size: int,
+    waited_s: float,
 ) -> messages.Request:
     _, customer, request_id, text = command[:BODY_PART]
     if not (
@@ -169,7 +180,7 @@
     service_class, plan, timeout, units, first_gateway, gateway_spread, is_retry = fields
     return messages.Request(
         request_id.decode(),
-        timeout - RESPONSE_MARGIN_S,
+        timeout - RESPONSE_MARGIN_S - waited_s,
         customer.decode().lower(),
         plan,
         service_class,
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -59,7 +59,7 @@
         self.core = core
         self.address = address
         self.port = address[1]
-        self.server = RespServer(self, max_connections, max_partial_bytes)
+        self.server = RespServer(self, core.input_scheduler, max_connections, max_partial_bytes)
         self._group_size = group_size
         self._fields_cache: FieldsCache = {}
         self._scanner: CommandScanner | None = None
@@ -155,7 +155,11 @@
                 if scanned is not None and self._reject_early(admission, scanned, slot):
                     return
             request, upstream_request = parse_command(
-                self.core.settings, command, self._fields_cache, self._group_size
+                self.core.settings,
+                command,
+                self._fields_cache,
+                self._group_size,
+                slot.connection.waited_s(),
             )
             # A command with fields in another order could not be scanned.
             if (
--- a/apigateway/frontends/resp/interfaces.py
+++ b/apigateway/frontends/resp/interfaces.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from apigateway.core.admission import AdmissionController
+from apigateway.core.input_scheduler import InputScheduler
 from apigateway.frontends.resp.client_connection import ClientConnection
 from apigateway.frontends.resp.response_slot import ResponseSlot
 
@@ -30,6 +31,7 @@
 
     handler: CommandHandler
     admission: AdmissionController | None
+    input_scheduler: InputScheduler
     idle_since: dict[ClientConnection, float]
 
     def on_connected(self, connection: ClientConnection) -> None:
@@ -55,6 +57,3 @@
 
     def update_partial_bytes(self, connection: ClientConnection, size: int) -> bool:
         """Update the total of partial command bytes; return False if it exceeds the limit."""
-
-    def may_defer(self, connection: ClientConnection) -> bool:
-        """Return whether there is memory to defer received commands."""
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from apigateway.core.admission import AdmissionController
+    from apigateway.core.input_scheduler import InputScheduler
     from apigateway.frontends.resp.interfaces import CommandHandler
 
 # A connection without a pending command, or with a partial one, is closed after this time.
@@ -44,12 +45,20 @@
 
     Args:
         handler: Handles the commands.
+        input_scheduler: Divides the time for commands among the connections of all frontends.
         max_connections: The maximum number of connections.
         max_partial_bytes: The maximum bytes of partial commands on all connections together.
     """
 
-    def __init__(self, handler: CommandHandler, max_connections: int, max_partial_bytes: int) -> None:
+    def __init__(
+        self,
+        handler: CommandHandler,
+        input_scheduler: InputScheduler,
+        max_connections: int,
+        max_partial_bytes: int,
+    ) -> None:
         self.handler = handler
+        self.input_scheduler = input_scheduler
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
         self.admission: AdmissionController | None = None  # None if load shedding is off
@@ -201,14 +210,6 @@
         connection.partial_bytes = size
         return not size or self.partial_bytes <= self.max_partial_bytes
 
-    def may_defer(self, connection: ClientConnection) -> bool:
-        """Return whether the received commands of a connection may be deferred.
-
-        Half of the memory for partial commands is available for that.
-        """
-        others_bytes = self.partial_bytes - connection.partial_bytes
-        return others_bytes + len(connection.framing.buffer) <= self.max_partial_bytes // 2
-
     # Limits
 
     def _evict(self) -> bool:
--- a/apigateway/upstream/framing.py
+++ b/apigateway/upstream/framing.py
@@ -65,10 +65,16 @@
         self._parts_left = 1  # parts of the first message that have not been scanned
         self._reader = hiredis.Reader()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Append received bytes."""
         self.buffer += data
 
+    def clear(self) -> None:
+        """Drop all received bytes; the next ones begin a message."""
+        self.buffer.clear()
+        self._position = 0
+        self._parts_left = 1
+
     def next_message(self) -> Any:
         """Return the next message, or NO_MESSAGE; an error reply is a hiredis.ReplyError.
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -1,9 +1,8 @@
 """Admission control with a manual scheduler and clock instead of an event loop."""
 
-import pytest
 from core.fakes import ManualScheduler
 
-from apigateway.core.admission import READ_TIME_SLICE_S, AdmissionController
+from apigateway.core.admission import AdmissionController
 
 
 class ScriptedGate:
@@ -57,47 +56,6 @@
             timer.fire()
 
 
-def test_iteration_when_its_time_slice_is_used_up_then_other_connections_wait_in_order():
-    harness = AdmissionHarness()
-    read = []
-
-    def make_connection(name, commands):
-        def read_commands():
-            while commands and not harness.admission.is_time_slice_used_up:
-                read.append((name, commands.pop(0)))
-                harness.check_request(READ_TIME_SLICE_S * 0.6)
-            if commands:
-                harness.admission.deferred_connections.append(read_commands)
-
-        return read_commands
-
-    for name in "abc":
-        make_connection(name, list(range(5)))()
-    assert read == [("a", 0), ("a", 1), ("a", 2)]  # then the time slice is used up
-    harness.run_iteration()
-    assert read[3:] == [("a", 3), ("a", 4), ("b", 0)]
-    for _ in range(10):
-        harness.run_iteration()
-    assert len(read) == 15 and not harness.admission.deferred_connections
-    assert [command for name, command in read if name == "c"] == list(range(5))
-    harness.run_iteration()
-    assert not harness.loop.ready_callbacks  # an idle controller schedules no callbacks
-
-
-def test_iteration_when_a_connection_raises_then_the_connections_queued_behind_it_are_read():
-    harness = AdmissionHarness()
-    read = []
-
-    def raise_error():
-        raise RuntimeError("the connection is broken")
-
-    harness.admission.deferred_connections.extend([raise_error, lambda: read.append("next")])
-    with pytest.raises(RuntimeError):
-        harness.admission.start_iteration()
-    harness.run_iteration()
-    assert read == ["next"] and not harness.admission.deferred_connections
-
-
 def test_gate_when_a_request_waited_then_the_gate_gets_its_wait_time():
     harness = AdmissionHarness()
     harness.check_request(arrived_at=harness.now - 0.5)
--- a/tests/frontends/resp/test_client_disconnects.py
+++ b/tests/frontends/resp/test_client_disconnects.py
@@ -15,6 +15,7 @@
 )
 
 from apigateway import messages
+from apigateway.core import input_scheduler
 from apigateway.frontends.resp.client_connection import MAX_PENDING_COMMANDS
 
 
@@ -65,33 +66,22 @@
         )
 
 
-class BusyAdmission:
-    """An admission controller whose time slice is always used up; the test resumes connections."""
-
-    is_time_slice_used_up, lag = True, 0.0
-
-    def __init__(self):
-        self.deferred_connections, self.clock_read = [], asyncio.Event()
-
-    def clock(self):
-        self.clock_read.set()
-        return 0.0
-
-
 @run_on_uvloop
-async def test_disconnect_is_detected_while_commands_are_deferred(tmp_path):
+async def test_disconnect_is_detected_while_commands_are_deferred(tmp_path, monkeypatch):
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
-        server = harness.server.frontends[0].server
-        server.admission = admission = BusyAdmission()
+        server, scheduler = harness.server.frontends[0].server, harness.server.core.input_scheduler
+        monkeypatch.setattr(input_scheduler, "IMMEDIATE_TIME_S", -1.0)  # all input is queued
+        run_turn = scheduler.run_turn
+        monkeypatch.setattr(scheduler, "run_turn", lambda: None)  # the test runs the turns
         _, writer = await harness.connect()
         writer.write(make_command(b"gone"))
-        await admission.clock_read.wait()
-        (resume,) = admission.deferred_connections
+        while not scheduler.queue_length:
+            await asyncio.sleep(0)
         writer.close()
         while server.connections:
             await asyncio.sleep(0.01)
-        resume()
-        server.admission = None
+        run_turn()
+        monkeypatch.undo()
         assert await harness.send_command(make_command(b"next")) == VALUE_REPLY
         assert [command[2] for command in host.commands] == [b"next"]
 
--- a/tests/frontends/resp/test_load_shedding.py
+++ b/tests/frontends/resp/test_load_shedding.py
@@ -16,8 +16,9 @@
     run_on_uvloop,
 )
 
-from apigateway.core import admission as core_admission
+from apigateway.core import input_scheduler
 from apigateway.core.admission import AdmissionController
+from apigateway.frontends.read_buffer import READ_BYTES
 from apigateway.policy.overload_gate import MAX_STEP, OverloadGate
 
 
@@ -40,6 +41,12 @@
     return harness.server.core.admission
 
 
+def use_up_time_slices(monkeypatch):
+    """Let each connection handle one command in its turn, and all turns be later ones."""
+    monkeypatch.setattr(input_scheduler, "SLICE_TIME_S", 0.0)
+    monkeypatch.setattr(input_scheduler, "IMMEDIATE_TIME_S", -1.0)
+
+
 CUSTOMER_A, CUSTOMER_B = "00000000000000aa", "00000000000000bb"
 
 
@@ -95,10 +102,9 @@
 
 @run_on_uvloop
 async def test_flood_of_commands_is_deferred_and_completely_answered(tmp_path, monkeypatch):
-    # The time slice is used up after the second command.
-    monkeypatch.setattr(core_admission, "READ_TIME_SLICE_S", 0.0)
+    use_up_time_slices(monkeypatch)
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
-        admission = install_admission(harness, ScriptedGate(CUSTOMER_A))
+        install_admission(harness, ScriptedGate(CUSTOMER_A))
         connections = [await harness.connect() for _ in range(4)]
         for connection_number, (_, writer) in enumerate(connections):
             writer.write(
@@ -112,11 +118,7 @@
             for _ in range(300):
                 assert await read_reply(reader) == b"-BUSY 250\r\n"
             assert await read_reply(reader) == VALUE_REPLY
-        assert (
-            not admission.deferred_connections
-            and not admission.is_time_slice_used_up
-            or admission.time_slice_started_at
-        )
+        assert not harness.server.core.input_scheduler.queue_length
         reader, writer = connections[0]
         writer.write(make_command(b"more", customer=CUSTOMER_B.encode()))  # the connection is read again
         assert await read_reply(reader) == VALUE_REPLY
@@ -126,9 +128,9 @@
 async def test_framing_error_and_disconnect_of_deferred_connections_do_not_affect_others(
     tmp_path, monkeypatch
 ):
-    monkeypatch.setattr(core_admission, "READ_TIME_SLICE_S", 0.0)
+    use_up_time_slices(monkeypatch)
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
-        admission = install_admission(harness, ScriptedGate(CUSTOMER_A))
+        install_admission(harness, ScriptedGate(CUSTOMER_A))
         (reader, writer), (_, leaving_writer) = await harness.connect(), await harness.connect()
         flood = b"".join(make_command(b"f%d" % n, customer=CUSTOMER_A.encode()) for n in range(50))
         leaving_writer.write(flood + make_command(b"gone", customer=CUSTOMER_B.encode()))
@@ -138,42 +140,52 @@
         assert set(replies[:50]) == {b"-BUSY 250\r\n"} and replies[50] == b"-ERR protocol error\r\n"
         assert await reader.read() == b""
         assert await harness.send_command(make_command(b"after", customer=CUSTOMER_B.encode())) == VALUE_REPLY
-        assert not admission.deferred_connections and harness.server.frontends[0].server.partial_bytes == 0
+        assert not harness.server.core.input_scheduler.queue_length
+        assert harness.server.frontends[0].server.partial_bytes == 0
 
 
 @run_on_uvloop
 async def test_deferred_commands_are_answered_during_shutdown(tmp_path, monkeypatch):
-    monkeypatch.setattr(core_admission, "READ_TIME_SLICE_S", 0.0)
+    use_up_time_slices(monkeypatch)
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
-        admission = install_admission(harness, ScriptedGate())
+        install_admission(harness, ScriptedGate())
         reader, writer = await harness.connect()
-        skipped_iterations = []
-        start_iteration = admission.start_iteration
-        # No new iteration starts until the test starts one.
-        monkeypatch.setattr(admission, "start_iteration", lambda: skipped_iterations.append(1))
+        scheduler = harness.server.core.input_scheduler
+        run_turn = scheduler.run_turn
+        # No turn begins until the test begins one.
+        monkeypatch.setattr(scheduler, "run_turn", lambda: None)
         writer.write(b"".join(make_command(b"s%d" % n) for n in range(30)))
-        while not admission.deferred_connections:
+        while not scheduler.queue_length:
             await asyncio.sleep(0)
         harness.server.frontends[0].start_draining()  # as on SIGTERM: received commands must not be lost
-        monkeypatch.setattr(admission, "start_iteration", start_iteration)
-        admission.start_iteration()
+        monkeypatch.setattr(scheduler, "run_turn", run_turn)
+        run_turn()
         replies = [await read_reply(reader) for _ in range(30)]
         # The decision module limits the number of waiting requests.
         assert VALUE_REPLY in replies and set(replies) <= {VALUE_REPLY, b"-BUSY\r\n"}
         assert await reader.read() == b""
 
 
+# Guards against a client whose deferred commands take more memory with every byte that it sends.
 @run_on_uvloop
-async def test_commands_beyond_the_deferral_memory_are_handled_at_once(tmp_path, monkeypatch):
-    monkeypatch.setattr(core_admission, "READ_TIME_SLICE_S", 0.0)
+async def test_connection_with_deferred_commands_is_not_read(tmp_path, monkeypatch):
+    use_up_time_slices(monkeypatch)
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
-        admission = install_admission(harness, ScriptedGate(CUSTOMER_A))
-        # Half of these bytes may hold deferred commands.
-        harness.server.frontends[0].server.max_partial_bytes = 1000
-        monkeypatch.setattr(admission, "start_iteration", lambda: None)
+        install_admission(harness, ScriptedGate(CUSTOMER_A))
+        scheduler, server = harness.server.core.input_scheduler, harness.server.frontends[0].server
+        run_turn = scheduler.run_turn
+        monkeypatch.setattr(scheduler, "run_turn", lambda: None)
         reader, writer = await harness.connect()
-        writer.write(b"".join(make_command(b"m%d" % n, customer=CUSTOMER_A.encode()) for n in range(100)))
-        for _ in range(90):
+        count = 1000
+        writer.write(b"".join(make_command(b"m%d" % n, customer=CUSTOMER_A.encode()) for n in range(count)))
+        while not scheduler.queue_length:
+            await asyncio.sleep(0)
+        (connection,) = server.connections
+        assert connection.is_read_paused and connection.has_unread_data()
+        assert len(connection.framing.buffer) <= READ_BYTES and server.partial_bytes <= READ_BYTES
+        monkeypatch.setattr(scheduler, "run_turn", run_turn)
+        run_turn()
+        for _ in range(count):
             assert await read_reply(reader) == b"-BUSY 250\r\n"
 
 
