Do not accept a write again that may have run under the same id

Cause: a request's id was known only while it was in flight. When its client left, the request was given up and its id forgotten, though a host might have run it.

Only forwarded writes are kept, so the hosts' capacity bounds how fast they come. What was never sent on, or was rejected, is served when it comes again, also when the end of the old connection has not been read yet. Among workers the mark of such a write stays until it expires.

--- a/apigateway/core/attempts.py
+++ b/apigateway/core/attempts.py
@@ -21,6 +21,8 @@
 # Module constants, because every attempt is compared with them and enum member lookup is slow.
 _OK = AttemptResult.OK
 _CONNECT_FAILED = AttemptResult.CONNECT_FAILED
+# Results that tell that the endpoint has not run the request.
+_NOT_RUN = (AttemptResult.CONNECT_FAILED, AttemptResult.REJECTED, AttemptResult.ABANDONED)
 
 log = logging.getLogger(__name__)
 
@@ -120,6 +122,8 @@
         in_flight, number = tag
         result = attempt.result
         del in_flight.active_attempts[number]
+        if in_flight.is_write and result not in _NOT_RUN:
+            in_flight.may_have_run = True
         if in_flight.is_finished:
             if result == _CONNECT_FAILED:
                 result = AttemptResult.ABANDONED  # not sent, so no information on the endpoint
--- a/apigateway/core/in_flight_request.py
+++ b/apigateway/core/in_flight_request.py
@@ -40,7 +40,10 @@
         deadline: Time by which the decision module must have decided, on the clock of `time.monotonic`.
         registry_slot: Slot in the in-flight registry; NOT_REGISTERED if the request has none.
         customer: Customer that sent the request.
+        is_write: Whether it may not simply run twice.
         deadline_timer: Timer of `DeadlineGuard`; None until it is started.
+        may_have_run: Whether an endpoint may have run it.
+        is_client_disconnected: Whether it finished without a response, because its client disconnected.
         attempt_count: Attempts that the decision module asked for, including those that were not sent.
         active_attempts: Attempts that have not ended, by their number.
         is_finished: Whether the final response was sent or the client has disconnected.
@@ -56,6 +59,9 @@
         "deadline",
         "registry_slot",
         "customer",
+        "is_write",
+        "may_have_run",
+        "is_client_disconnected",
         "deadline_timer",
         "attempt_count",
         "active_attempts",
@@ -73,6 +79,7 @@
         deadline: float,
         registry_slot: int,
         customer: str,
+        is_write: bool = False,
     ) -> None:
         self.request_id = request_id
         self.sink = sink
@@ -81,6 +88,9 @@
         self.deadline = deadline
         self.registry_slot = registry_slot
         self.customer = customer
+        self.is_write = is_write
+        self.may_have_run = False
+        self.is_client_disconnected = False
         self.deadline_timer: TimerHandle | None = None
         self.attempt_count = 0
         self.active_attempts: dict[int, UpstreamAttempt] = {}
--- a/apigateway/core/in_flight_table.py
+++ b/apigateway/core/in_flight_table.py
@@ -10,13 +10,14 @@
 from apigateway.core.budget import Budget
 from apigateway.core.context import CoreContext
 from apigateway.core.deadlines import RESPONSE_MARGIN_S
+from apigateway.core.executed_requests import ExecutedRequests
 from apigateway.core.in_flight_request import NO_UPSTREAM_REQUEST, NOT_REGISTERED, InFlightRequest
 from apigateway.core.interfaces import InFlightRegistry, ResponseSink, UpstreamRequest
 from apigateway.core.outcomes import AcquireFailure
 
 
 class DuplicateRequestError(Exception):
-    """A request with this id is already in flight, from this frontend or another one."""
+    """A request with this id is in flight, from any frontend, or a write that may have run."""
 
 
 class InFlightTable:
@@ -33,6 +34,7 @@
         self.requests: dict[str, InFlightRequest] = {}  # by request id
         self.request_budget = Budget(max_in_flight)
         self.body_budget = Budget(max_body_bytes)
+        self.executed = ExecutedRequests()
         self.drained = asyncio.Event()  # set when the last request is released while the gateway drains
 
     def register_frontend(self, frontend: object) -> None:
@@ -46,12 +48,18 @@
         self.body_budget.leave(frontend)
 
     def is_in_flight(self, request_id: str, is_write: bool) -> bool:
-        """Return whether a request may be running in this worker or, if it is a write, in another one."""
-        if request_id in self.requests:
+        """Return whether a request may be running, or is a write that may have run, in any worker."""
+        if self.is_in_flight_here(request_id, is_write):
             return True
         registry = self._context.in_flight_registry
         return is_write and registry is not None and registry.is_held(request_id)
 
+    def is_in_flight_here(self, request_id: str, is_write: bool) -> bool:
+        """Return whether a request may be running, or is a write that may have run, in this worker."""
+        if request_id in self.requests:
+            return True
+        return is_write and self.executed.contains(request_id, time.monotonic())
+
     def customer_of(self, event: messages.Event) -> str:
         """Return the customer of an event or of the request that it names; empty if there is none."""
         in_flight = self.requests.get(getattr(event, "request_id", ""))
@@ -100,7 +108,14 @@
         """Add a request for which `reserve` found capacity; its deadline counts from now."""
         deadline = time.monotonic() + request.remaining
         in_flight = InFlightRequest(
-            request.request_id, sink, upstream_request, frontend, deadline, registry_slot, request.customer
+            request.request_id,
+            sink,
+            upstream_request,
+            frontend,
+            deadline,
+            registry_slot,
+            request.customer,
+            request.is_write,
         )
         sink.token = in_flight
         self.requests[request.request_id] = in_flight
@@ -126,7 +141,11 @@
             return
         self.request_budget.release(in_flight.frontend, 1)
         registry = self._context.in_flight_registry
-        if registry is not None and in_flight.registry_slot >= 0:
+        has_run_unanswered = in_flight.may_have_run and in_flight.is_client_disconnected
+        if in_flight.is_write and in_flight.may_have_run:
+            self.executed.add(in_flight.request_id, time.monotonic())
+        # The mark of a write whose client may send it again to another worker stays until it expires.
+        if registry is not None and in_flight.registry_slot >= 0 and not has_run_unanswered:
             registry.release(in_flight.registry_slot)
         if self._context.is_draining and not self.requests:
             self.drained.set()
--- a/apigateway/core/request_lifecycle.py
+++ b/apigateway/core/request_lifecycle.py
@@ -128,10 +128,13 @@
         `request.remaining` is the client's timeout in seconds, less RESPONSE_MARGIN_S.
 
         Raises:
-            DuplicateRequestError: A request with this id is in flight; this one is not accepted.
+            DuplicateRequestError: A request with this id is in flight, or a write that may have run. This one
+                is not accepted.
         """
         table = self.in_flight_table
         if request.request_id in self.in_flight:
+            self._give_up_if_disconnected(self.in_flight[request.request_id])
+        if table.is_in_flight_here(request.request_id, request.is_write):
             raise DuplicateRequestError
         registry_slot = table.reserve(frontend, request)
         if registry_slot is None:
@@ -168,6 +171,14 @@
         """
         return self.in_flight_table.is_in_flight(request_id, is_write)
 
+    def _give_up_if_disconnected(self, in_flight: InFlightRequest) -> None:
+        """Finish a request whose client has disconnected, if that has not been read from its connection yet.
+
+        A client may send a request again on a new connection before the end of the old one is read.
+        """
+        if not in_flight.is_finished and not in_flight.sink.is_client_connected():
+            self.on_client_disconnected(in_flight.sink)
+
     def on_client_disconnected(self, sink: ResponseSink) -> None:
         """Finish the request of a client that disconnected, without a response."""
         in_flight: InFlightRequest | None = sink.token
--- a/apigateway/core/responses.py
+++ b/apigateway/core/responses.py
@@ -80,6 +80,7 @@
         if in_flight.is_finished:
             return
         in_flight.is_finished = True
+        in_flight.is_client_disconnected = outcome == RequestOutcome.DISCONNECTED
         if in_flight.deadline_timer is not None:
             in_flight.deadline_timer.cancel()
         if in_flight.pending_check is not None:
--- a/tests/core/test_in_flight_table.py
+++ b/tests/core/test_in_flight_table.py
@@ -14,6 +14,7 @@
 )
 
 from apigateway import messages
+from apigateway.core import executed_requests
 from apigateway.core.request_lifecycle import DuplicateRequestError
 
 
@@ -63,6 +64,74 @@
     assert accepted_sink.answers == ["served"] and registry.released == [7]
 
 
+def submit_write(harness, request_id="a", actions=None):
+    """Submit a write that is forwarded, and return its sink."""
+    sink = RecordingSink()
+    harness.module.next_actions = [messages.ForwardRequest(request_id, "h1")] if actions is None else actions
+    harness.core.submit("front", make_write_request(request_id), FakeUpstreamRequest(), sink)
+    for attempt in harness.upstream.sent:
+        attempt.is_written = True
+    return sink
+
+
+# Guards against a write that runs twice because its id comes again.
+@pytest.mark.parametrize("result", ["ok", "error", "reset", "timeout", "cancelled"])
+def test_write_when_it_may_have_run_then_its_id_is_not_accepted_again(result):
+    harness = DispatcherHarness()
+    sink = submit_write(harness)
+    harness.core.on_client_disconnected(sink)
+    harness.upstream.sent[0].end(result)
+    assert not harness.core.in_flight and harness.core.is_in_flight("a", True)
+    with pytest.raises(DuplicateRequestError):
+        submit_write(harness)
+    assert len(harness.upstream.sent) == 1
+
+
+@pytest.mark.parametrize("result", ["connect_failed", "full"])
+def test_write_when_it_has_not_run_then_its_id_is_accepted_again(result):
+    harness = DispatcherHarness()
+    sink = submit_write(harness)
+    harness.core.on_client_disconnected(sink)
+    harness.upstream.sent[0].end(result)
+    submit_write(harness)
+    assert len(harness.upstream.sent) == 2
+
+
+# Guards against an error for a request that waited and comes again before the end of its connection is read.
+def test_write_when_its_client_has_left_unnoticed_then_a_repeat_takes_its_place_unless_it_may_have_run():
+    harness = DispatcherHarness()
+    waiting_sink = submit_write(harness, "waiting", [])
+    sent_sink = submit_write(harness, "sent")
+    waiting_sink.is_connected = sent_sink.is_connected = False
+    submit_write(harness, "waiting")
+    with pytest.raises(DuplicateRequestError):
+        submit_write(harness, "sent")
+    assert harness.core.in_flight["waiting"].sink is not waiting_sink and not waiting_sink.answers
+
+
+def test_write_when_its_client_left_and_it_may_have_run_then_other_workers_still_see_its_mark():
+    harness = DispatcherHarness()
+    harness.core.in_flight_registry = registry = ScriptedRegistry(7, 8)
+    for request_id, result in (("a", "reset"), ("b", "connect_failed")):
+        harness.core.on_client_disconnected(submit_write(harness, request_id))
+        harness.upstream.sent[-1].end(result)
+    assert registry.released == [8]
+
+
+def test_executed_requests_when_too_many_or_old_then_the_oldest_are_dropped(monkeypatch):
+    monkeypatch.setattr(executed_requests, "MAX_IDS", 100)
+    executed = executed_requests.ExecutedRequests()
+    for number in range(250):
+        executed.add(str(number), 10.0)
+    assert len(executed) == 100
+    assert executed.contains("249", 10.0) and not executed.contains("149", 10.0)
+    later = 10.0 + executed_requests.RETENTION_S
+    assert not executed.contains("249", later)
+    for number in range(60):
+        executed.add(f"later {number}", later)
+    assert len(executed) == 60
+
+
 def test_quota_check_when_its_id_is_in_flight_or_no_capacity_then_not_accepted():
     harness = DispatcherHarness(max_in_flight=1)
     harness.core.plugins = None
