Accept connections so that none is closed for a shortage, and open listeners again

Cause: the loop's library answers ENFILE and EMFILE by accepting and closing what waits, and skips an address whose socket cannot be opened.

Change: frontends/listener.py opens and accepts for both client protocols. A shortage pauses accepting for 20 ms, and connections stay in the kernel's queue; errors of one connection pass over it; a socket that cannot be opened for a moment is tried again for 10 s, then the error names the address. While clients' input waits for its turn, connections are accepted for 1 ms of each iteration, else one in each as before: accepting more at once let requests reach the decision module together, and two tests of choices between hosts failed. A shutdown waits for connections that are accepted and not established yet.

--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -13,7 +13,7 @@
 from apigateway.core.request_lifecycle import RequestDispatcher
 from apigateway.frontends.grpc.connection import GrpcConnection
 from apigateway.frontends.grpc.methods import StreamingMethod, UnaryMethod
-from apigateway.upstream import socket_state
+from apigateway.frontends.listener import Listener
 from apigateway.upstream.address import Address
 
 # A connection that receives no data and has no open call is closed after this time.
@@ -24,12 +24,8 @@
 IDLE_DRAIN_TIME_S = 5.0
 # Time limit for the TLS handshake.
 HANDSHAKE_TIMEOUT_S = 5.0
-# Interval of timeout checks, and delay before accepting again after running out of file descriptors.
+# Interval of timeout checks.
 SWEEP_INTERVAL_S = 1.0
-# Connections accepted in one event loop iteration.
-MAX_ACCEPTS_PER_ITERATION = 64
-# Connections that the kernel queues until they are accepted.
-LISTEN_BACKLOG = 1024
 # Default limit for the bytes of partial messages on all connections together.
 DEFAULT_MAX_PARTIAL_BYTES = 1 << 24
 
@@ -72,10 +68,9 @@
         self._max_connections = max_connections
         self._max_partial_bytes = max_partial_bytes
         self._partial_bytes = 0
-        self._handshakes: set[asyncio.Task[None]] = set()  # connections that are not established yet
         self._write_blocked_since: dict[GrpcConnection, float] = {}
         self._draining_since: dict[GrpcConnection, float] = {}
-        self._listener: socket.socket | None = None
+        self._listener = Listener(self._on_accepted, self._notify_if_all_disconnected, self.input_scheduler)
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._all_disconnected: asyncio.Future[None] | None = None
         core.register_frontend(self)
@@ -108,53 +103,24 @@
     @property
     def is_listening(self) -> bool:
         """Whether it accepts connections."""
-        return self._listener is not None
+        return self._listener.is_open
 
     async def listen(self, sock: socket.socket | None = None) -> None:
         """Listen on the configured address, or on `sock`, a socket that is already listening."""
-        if sock is None:
-            family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
-            sock = socket.create_server(self.address, family=family)
-        sock.setblocking(False)
-        sock.listen(LISTEN_BACKLOG)
-        self._listener = sock
-        self.port = sock.getsockname()[1]
-        self._start_accepting()
+        self.port = await self._listener.open(self.address, sock)
         if self._sweep_timer is None:
             self._sweep()
 
-    def _start_accepting(self) -> None:
-        if self._listener is not None:
-            asyncio.get_running_loop().add_reader(self._listener, self._accept)
-
-    def _accept(self) -> None:
-        """Accept pending connections.
+    def _on_accepted(self, sock: socket.socket) -> None:
+        """Establish an accepted connection.
 
         Connections count towards the limit before their TLS handshake, so that silent clients cannot use
         more than this frontend's share of file descriptors.
         """
-        loop = asyncio.get_running_loop()
-        for _ in range(MAX_ACCEPTS_PER_ITERATION):
-            if self._listener is None:
-                return
-            try:
-                sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                # Out of file descriptors: retrying at once would be a busy loop.
-                log.error("failed to accept a connection: %s", error)
-                loop.remove_reader(self._listener)
-                loop.call_later(SWEEP_INTERVAL_S, self._start_accepting)
-                return
-            if len(self.connections) + len(self._handshakes) >= self._max_connections:
-                sock.close()
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = loop.create_task(self._establish(sock, self.tls_context))
-            self._handshakes.add(task)
-            task.add_done_callback(self._on_handshake_ended)
+        if len(self.connections) + self._listener.establishing_count >= self._max_connections:
+            sock.close()
+        else:
+            self._listener.establish(self._establish(sock, self.tls_context))
 
     async def _establish(self, sock: socket.socket, tls_context: ssl.SSLContext | None) -> None:
         """Establish a connection, with TLS if there is a context."""
@@ -172,10 +138,6 @@
     def _create_connection(self) -> GrpcConnection:
         return GrpcConnection(self)
 
-    def _on_handshake_ended(self, task: asyncio.Task[None]) -> None:
-        self._handshakes.discard(task)
-        self._notify_if_all_disconnected()
-
     # Callbacks of connections (connection.ConnectionOwner)
 
     def on_connected(self, connection: GrpcConnection) -> None:
@@ -246,19 +208,16 @@
     @property
     def has_pending_connections(self) -> bool:
         """Whether a connection waits to be accepted."""
-        return self._listener is not None and socket_state.has_pending_connection(self._listener)
+        return self._listener.has_pending_connections
 
     @property
     def pending_connection_count(self) -> int:
         """How many connections wait to be accepted."""
-        return 0 if self._listener is None else socket_state.pending_connection_count(self._listener)
+        return self._listener.pending_connection_count
 
     def stop_accepting(self) -> None:
         """Accept no new connections; existing ones continue."""
-        if self._listener is not None:
-            asyncio.get_running_loop().remove_reader(self._listener)
-            self._listener.close()
-            self._listener = None
+        self._listener.close()
 
     def start_draining(self) -> None:
         """Accept no new connections, and ask the clients to open no more calls.
@@ -303,12 +262,12 @@
 
     async def wait_disconnected(self) -> None:
         """Wait until all connections are closed."""
-        while self.connections or self._handshakes:
+        while self.connections or self._listener.establishing_count:
             self._all_disconnected = asyncio.get_running_loop().create_future()
             await self._all_disconnected
 
     def _notify_if_all_disconnected(self) -> None:
-        if self.connections or self._handshakes:
+        if self.connections or self._listener.establishing_count:
             return
         if self._all_disconnected is not None and not self._all_disconnected.done():
             self._all_disconnected.set_result(None)
@@ -318,8 +277,7 @@
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
         self.stop_accepting()
-        for task in list(self._handshakes):
-            task.cancel()
+        self._listener.cancel_establishing()
         for connection in list(self.connections):
             connection.transport.close()
         self.core.unregister_frontend(self)
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -91,7 +91,7 @@
 
     async def listen(self, sock: socket.socket | None = None) -> None:
         """Listen on the configured address, or on `sock`, a socket that is already listening."""
-        self.port = await self.server.listen(*self.address, sock)
+        self.port = await self.server.listen(self.address, sock)
 
     def announce_shutdown(self) -> None:
         """Do nothing: commands are still accepted for a while, and PING reports the shutdown."""
@@ -141,19 +141,22 @@
 
     # Commands (client_connection.CommandHandler)
 
-    def on_command(self, slot: ResponseSlot, command: object) -> None:
-        """Answer a PING, shed the command, or submit its request to the core."""
+    def on_command(self, slot: ResponseSlot, command: object) -> bool:
+        """Answer a PING, shed the command, or submit its request to the core.
+
+        Returns whether the command is a valid request.
+        """
         if command in PING_COMMANDS:
             is_serving = self.core.is_ready and not self.core.is_draining
             slot.respond(PONG_RESPONSE if is_serving else NOT_READY_RESPONSE)
-            return
+            return False
         try:
             admission = self.core.admission
             if admission is not None:
                 scanner = self._scanner or self._create_scanner()
                 scanned = scanner.scan(command)
                 if scanned is not None and self._reject_early(admission, scanned, slot):
-                    return
+                    return True
             request, upstream_request = parse_command(
                 self.core.settings,
                 command,
@@ -167,18 +170,21 @@
                 and scanned is None
                 and self._reject_early(admission, scanner.from_request(request), slot)
             ):
-                return
+                return True
             if self._tokens is not None and TOKEN_PREFIX in upstream_request.parts[FIELDS_PART]:
                 request = self._redeem_token(self._tokens, request, upstream_request.parts[FIELDS_PART], slot)
             self.core.submit(self, request, upstream_request, slot)
         except InvalidCommandError as error:
             slot.respond(b"-ERR %s\r\n" % str(error).encode())
+            return False
         except DuplicateRequestError:
             self.restore_token(slot)
             slot.respond(DUPLICATE_RESPONSE)
+            return False
         except Exception:
             log.exception("failed to handle a command")
             slot.respond(FAILED_RESPONSE)
+        return True
 
     def on_client_disconnected(self, slot: ResponseSlot) -> None:
         """Cancel a command whose client has disconnected."""
--- a/apigateway/frontends/resp/interfaces.py
+++ b/apigateway/frontends/resp/interfaces.py
@@ -16,8 +16,8 @@
 class CommandHandler(Protocol):
     """Handles the commands of connections."""
 
-    def on_command(self, slot: ResponseSlot, command: object) -> None:
-        """Handle a command and send its response to `slot`."""
+    def on_command(self, slot: ResponseSlot, command: object) -> bool:
+        """Handle a command and send its response to `slot`; return whether it is a request."""
 
     def on_client_disconnected(self, slot: ResponseSlot) -> None:
         """Handle a client that disconnected before its response."""
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
-from collections.abc import Sequence
 from itertools import islice
 from time import monotonic
 from typing import TYPE_CHECKING
 
+from apigateway.frontends.listener import Listener
 from apigateway.frontends.resp.client_connection import ClientConnection
-from apigateway.upstream import socket_state
+from apigateway.upstream.address import Address
 
 if TYPE_CHECKING:
     from apigateway.core.admission import AdmissionController
@@ -34,11 +35,11 @@
 DISCONNECT_CHECK_INTERVAL_S = 0.1
 # Idle connections that are considered when one must be evicted.
 MAX_EVICTION_CANDIDATES = 8
-# Connections that the kernel queues until they are accepted.
-LISTEN_BACKLOG = 1024
 
 TOO_MANY_CONNECTIONS_RESPONSE = b"-ERR too many connections\r\n"
 
+log = logging.getLogger(__name__)
+
 
 class RespServer:
     """One listener and its connections.
@@ -69,7 +70,7 @@
         self.closing_since: dict[ClientConnection, float] = {}
         self.write_blocked_since: dict[ClientConnection, float] = {}
         self.read_paused: set[ClientConnection] = set()  # the event loop does not report their disconnects
-        self._listener: asyncio.Server | None = None
+        self._listener = Listener(self._on_accepted, self._notify_if_all_disconnected, input_scheduler)
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._disconnect_check_timer: asyncio.TimerHandle | None = None
         self._all_disconnected: asyncio.Future[None] | None = None
@@ -79,37 +80,39 @@
     @property
     def is_listening(self) -> bool:
         """Whether the listener is open."""
-        return self._listener is not None and self._listener.is_serving()
+        return self._listener.is_open
 
-    async def listen(self, host: str, port: int, sock: socket.socket | None = None) -> int:
+    async def listen(self, address: Address, sock: socket.socket | None = None) -> int:
         """Listen and return the port.
 
         Args:
-            host: The host to listen on.
-            port: The port to listen on; 0 for any.
+            address: The address to listen on, with port 0 for any.
             sock: A socket that is already listening, used instead of a new one.
+
+        Raises:
+            OSError: The address cannot be listened on.
         """
-        loop = asyncio.get_running_loop()
-        if sock is not None:
-            self._listener = await loop.create_server(
-                self._create_connection, sock=sock, backlog=LISTEN_BACKLOG
-            )
-        else:
-            self._listener = await loop.create_server(
-                self._create_connection, host, port, backlog=LISTEN_BACKLOG
-            )
+        port = await self._listener.open(address, sock)
         if self._sweep_timer is None:
             self._sweep()
-        bound_port: int = self._listener.sockets[0].getsockname()[1]
-        return bound_port
+        return port
+
+    def _on_accepted(self, sock: socket.socket) -> None:
+        self._listener.establish(self._establish(sock))
+
+    async def _establish(self, sock: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(self._create_connection, sock)
+        except OSError as error:
+            log.info("failed to establish a connection: %s", error)
+            sock.close()
 
     def _create_connection(self) -> ClientConnection:
         return ClientConnection(self)
 
     def stop_accepting(self) -> None:
         """Close the listener; existing connections continue."""
-        if self._listener:
-            self._listener.close()
+        self._listener.close()
 
     def start_draining(self) -> None:
         """Close the listener, and each connection once its commands are answered."""
@@ -120,7 +123,7 @@
 
     async def wait_disconnected(self) -> None:
         """Wait until all connections are closed."""
-        while self.connections:
+        while self.connections or self._listener.establishing_count:
             self._all_disconnected = asyncio.get_running_loop().create_future()
             await self._all_disconnected
 
@@ -129,26 +132,26 @@
         for timer in (self._sweep_timer, self._disconnect_check_timer):
             if timer is not None:
                 timer.cancel()
+        self._listener.cancel_establishing()
         for connection in list(self.connections):
             connection.transport.close()
 
     @property
     def has_pending_connections(self) -> bool:
         """Whether a connection waits to be accepted."""
-        return any(socket_state.has_pending_connection(sock) for sock in self._listening_sockets())
+        return self._listener.has_pending_connections
 
     @property
     def pending_connection_count(self) -> int:
         """How many connections wait to be accepted."""
-        return sum(socket_state.pending_connection_count(sock) for sock in self._listening_sockets())
-
-    def _listening_sockets(self) -> Sequence[socket.socket]:
-        return self._listener.sockets if self._listener is not None else ()
+        return self._listener.pending_connection_count
 
     @property
     def has_unread_commands(self) -> bool:
-        """Whether a connection has received bytes that wait to be read or parsed."""
-        return any(connection.has_unread_commands() for connection in self.connections)
+        """Whether a connection has received bytes that wait to be read or parsed, or may have."""
+        return bool(self._listener.establishing_count) or any(
+            connection.has_unread_commands() for connection in self.connections
+        )
 
     @property
     def has_unwritten_responses(self) -> bool:
@@ -172,14 +175,19 @@
     def on_disconnected(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
         self.connections.discard(connection)
-        if not self.connections and self._all_disconnected is not None and not self._all_disconnected.done():
-            self._all_disconnected.set_result(None)
+        self._notify_if_all_disconnected()
         self.update_partial_bytes(connection, 0)
         self.idle_since.pop(connection, None)
         self.closing_since.pop(connection, None)
         self.write_blocked_since.pop(connection, None)
         self.read_paused.discard(connection)
 
+    def _notify_if_all_disconnected(self) -> None:
+        if self.connections or self._listener.establishing_count:
+            return
+        if self._all_disconnected is not None and not self._all_disconnected.done():
+            self._all_disconnected.set_result(None)
+
     def on_idle(self, connection: ClientConnection) -> None:
         """Restart the idle timeout of a connection."""
         self.idle_since.pop(connection, None)  # moves it to the end
--- a/tests/daemon/test_gateway_server.py
+++ b/tests/daemon/test_gateway_server.py
@@ -147,16 +147,17 @@
     """The connection and its request arrive just before the close, so the gateway has not accepted it yet."""
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
         sleep, clients = asyncio.sleep, []
+        linger_s = 0.2625  # nothing else sleeps for this time
 
         async def connect_before_close(seconds, *rest):
-            if seconds != 0.25:
+            if seconds != linger_s:
                 return await sleep(seconds, *rest)
             # The loop does not run between this connection and the close.
             clients.append(socket.create_connection(("127.0.0.1", harness.port)))
             clients[0].sendall(make_command())
 
         monkeypatch.setattr(asyncio, "sleep", connect_before_close)
-        await harness.server.stop(0.25)
+        await harness.server.stop(linger_s)
         assert await asyncio.to_thread(clients[0].recv, 100) == VALUE_REPLY
         clients[0].close()
 
