Favour connections with requests over floods of commands that ask for nothing

Cause: an even share of the time for 80 connections is less than such a client needs.

Change: time for PING and invalid commands counts eight times, and a connection that was idle is up to 10 ms ahead of those that wait. Neither can be saved up further.

An even share among connections that all send valid requests stays what it was.

--- a/apigateway/core/input_scheduler.py
+++ b/apigateway/core/input_scheduler.py
@@ -3,8 +3,8 @@
 A connection that sends without pause could otherwise keep the loop busy until other clients' requests are
 past their deadlines. All frontends share one scheduler. It is a fair queue by virtual time, as in the
 completely fair scheduler of Linux: the connection whose input has used the least time goes first. One that
-was idle for a while starts a slice before those that wait, so it goes first and has saved up no more. A new
-one starts beside the first that waits.
+was idle for a while has saved up IDLE_CREDIT_S at most. A new one starts beside the first that waits. Time
+for commands that ask for no work, such as PING and invalid ones, counts NO_WORK_COST_FACTOR times.
 """
 
 from __future__ import annotations
@@ -23,6 +23,9 @@
 SLICE_TIME_S = 0.0005
 MIN_SLICE_TIME_S = 0.0001
 ROUND_TIME_S = 0.02
+# Time by which a connection that was idle is ahead of those that wait.
+IDLE_CREDIT_S = 0.01
+NO_WORK_COST_FACTOR = 8.0
 # Time for which input is handled as it is read, without queueing, between two turns.
 IMMEDIATE_TIME_S = 0.001
 
@@ -37,14 +40,16 @@
     Attributes:
         virtual_time_s: The time that its input has used, counted from that of others when it was last idle;
             None before its first input.
+        cost_factor: What the time of the slice that was handled last counts, set by `handle_input`.
         is_queued: Whether it waits for its turn. Its connection is not read meanwhile.
     """
 
-    __slots__ = ("handle_input", "virtual_time_s", "is_queued")
+    __slots__ = ("handle_input", "virtual_time_s", "cost_factor", "is_queued")
 
     def __init__(self, handle_input: Callable[[float], bool]) -> None:
         self.handle_input = handle_input
         self.virtual_time_s: float | None = None
+        self.cost_factor = 1.0
         self.is_queued = False
 
 
@@ -120,7 +125,7 @@
         finally:
             self._current = None
         ended_at = self.clock()
-        source.virtual_time_s = virtual_time_s + ended_at - started_at
+        source.virtual_time_s = virtual_time_s + (ended_at - started_at) * source.cost_factor
         if has_more:
             self.enqueue(source)
         return ended_at
@@ -132,7 +137,7 @@
     def _start_time_s(self, source: ConnectionInput) -> float:
         if source.virtual_time_s is None:
             return self._virtual_time_s
-        return max(source.virtual_time_s, self._virtual_time_s - SLICE_TIME_S)
+        return max(source.virtual_time_s, self._virtual_time_s - IDLE_CREDIT_S)
 
     def _schedule_turn(self) -> None:
         if not self._is_turn_scheduled:
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -12,7 +12,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING, cast
 
-from apigateway.core.input_scheduler import ConnectionInput
+from apigateway.core.input_scheduler import NO_WORK_COST_FACTOR, ConnectionInput
 from apigateway.frontends.read_buffer import READ_BUFFER, READ_BYTES
 from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.upstream import socket_state
@@ -155,6 +155,7 @@
     def _read_commands(self, until: float) -> bool:
         """Read commands until a time, and return whether some may be left. Raises FramingError."""
         clock = self.server.input_scheduler.clock
+        self.input.cost_factor = 1.0
         while self._can_read_commands():
             command = self.framing.next_message()
             if command is NO_MESSAGE:
@@ -162,7 +163,8 @@
             slot = ResponseSlot(self)
             self.pending_slots.append(slot)
             self.server.idle_since.pop(self, None)
-            self.server.handler.on_command(slot, command)
+            if not self.server.handler.on_command(slot, command):
+                self.input.cost_factor = NO_WORK_COST_FACTOR
             if not self.framing.buffer:
                 return False
             if clock() >= until:
