Limit the customers that a gateway keeps, by its memory limit, on the platform too

Cause: the platform's settings have no limit on customers, and quotas were dropped only after 30 s, four at each request. Python's arenas are seldom empty again, so what a flood takes stays.

The oldest that is not in use and whose ceiling is full leaves first, as before where max_customers was set; the same default holds for serve. The cache of fields drops its oldest entry and not all; a command may have 64 fields.

--- a/apigateway/daemon/config.py
+++ b/apigateway/daemon/config.py
@@ -5,10 +5,11 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from apigateway import messages
+from apigateway.daemon.memory_limits import default_max_customers
 from apigateway.membership.listing import EndpointListing, listing_from_json
 from apigateway.platform_settings import nanoseconds_to_seconds, read_settings
 from apigateway.upstream.address import Address, parse_address
@@ -116,7 +117,8 @@
 
 def _build_config(document: dict[str, Any], env: Mapping[str, str], is_reload: bool) -> Config:
     limits = document["settings"]["limits"]
-    settings = read_settings(document["settings"])
+    memory_bytes = int(document["limits"]["memory_mb"]) * BYTES_PER_MIB
+    settings = replace(read_settings(document["settings"]), max_customers=default_max_customers(memory_bytes))
     counter = document.get("counter")
     if settings.has_counter and not counter:
         raise ValueError("the settings allow a counter but no address is given")
@@ -126,7 +128,7 @@
         discovery=parse_address((not is_reload and env.get("RELAY_DISCOVERY")) or document["discovery"]),
         counter=parse_address(counter) if counter else None,
         seed=int(document["seed"], 16),
-        memory_bytes=int(document["limits"]["memory_mb"]) * BYTES_PER_MIB,
+        memory_bytes=memory_bytes,
         max_descriptors=int(document["limits"]["sockets"]),
         known_endpoints=listing_from_json(document["known"], messages.ListMode.CACHED),
         settings=settings,
--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -23,6 +23,7 @@
 from apigateway.daemon.endpoint_source import EndpointSourceFactory, reconciler_driver_of
 from apigateway.daemon.graceful_shutdown import complete_requests, retire_frontend
 from apigateway.daemon.kernel_resources import reserve_descriptors
+from apigateway.daemon.memory_limits import PROGRAM_BYTES
 from apigateway.frontends.resp.frontend import RespFrontend
 from apigateway.membership.listing import EndpointListing
 from apigateway.policy import Gateway
@@ -37,8 +38,6 @@
     from apigateway.plugins.manager import PluginManager
     from apigateway.policy.overload_gate import OverloadGate
 
-# Memory of the program itself, rounded up.
-PROGRAM_BYTES = 40 * 1024 * 1024
 # Request bodies may always take this much memory, and incomplete commands as much again.
 MIN_BODY_BYTES = 4 * 1024 * 1024
 # Request bodies may take one part in BODY_MEMORY_DIVISOR of the memory that the program leaves, and
--- a/apigateway/daemon/settings_runtime.py
+++ b/apigateway/daemon/settings_runtime.py
@@ -11,13 +11,13 @@
 
 from apigateway import messages
 from apigateway.daemon.config import Config, OverloadSettings
+from apigateway.daemon.memory_limits import default_max_customers
 from apigateway.daemon.settings_schema import (
     ClassSection,
     LimitsSection,
     PlanSection,
     RulesSection,
     Settings,
-    customer_capacity,
 )
 from apigateway.frontends.grpc.mapping import DescriptorMapping, MappingRule
 from apigateway.frontends.grpc.settings import RateLimitSection, RuleSection
@@ -163,7 +163,7 @@
         discovery_mode=messages.DiscoveryMode.PUSH,
         load_report_fields=tuple(settings.hosts.reports),
         weight_meaning="none",
-        max_customers=limits.max_customers or customer_capacity(limits),
+        max_customers=limits.max_customers or default_max_customers(limits.memory_mb * BYTES_PER_MIB),
         routes={
             name: messages.Route(name, tuple(section.kinds), section.fallback)
             for name, section in settings.routes.items()
--- a/apigateway/frontends/resp/command.py
+++ b/apigateway/frontends/resp/command.py
@@ -31,10 +31,12 @@
 IDEMPOTENCY_KEY_FIELD = b"k"
 RETRY_FIELD = b"r"
 
-# Maximum number of cached parsed fields. The cache is cleared when full.
+# Maximum number of cached parsed fields. The oldest leave first.
 MAX_CACHED_FIELDS = 512
 # Longer fields are not cached, which limits the memory of the cache.
 MAX_CACHED_FIELDS_BYTES = 256
+# Fields of a command; the protocol has eight. More would take long to parse.
+MAX_FIELDS = 64
 
 # Module globals, because every command is checked against them and an enum member is slower to look up on its
 # class.
@@ -175,7 +177,7 @@
         # Fields with an idempotency key belong to a single request, so caching them is useless.
         if _IDEMPOTENCY_KEY_PREFIX not in text and len(text) < MAX_CACHED_FIELDS_BYTES:
             if len(cache) >= MAX_CACHED_FIELDS:
-                cache.clear()
+                del cache[next(iter(cache))]  # the oldest
             cache[key] = fields
     service_class, plan, timeout, units, first_gateway, gateway_spread, is_retry = fields
     return messages.Request(
@@ -194,6 +196,8 @@
 
 def _parse_fields(settings: messages.Settings, text: bytes, is_write: bool, group_size: int) -> CommandFields:
     """Parse and validate the fields of a command. Raises InvalidCommandError."""
+    if text.count(b",") >= MAX_FIELDS:
+        raise InvalidCommandError("too many fields")
     pairs = [field.split(b"=", 1) for field in text.split(b",")]
     try:
         fields: dict[bytes, bytes] = dict(pairs)  # a field without `=` raises
