Count all that clients make the process hold in one account, with a share for each

What callers saw: processes over their memory limit beside clients that write much and do not read; responses that wait for their turn or that a client does not read were in no limit (up to 512 of 64 KiB on a connection), a write was counted by its body alone, and what a flood took stayed.

--- a/apigateway/core/budget.py
+++ b/apigateway/core/budget.py
@@ -15,6 +15,7 @@
     Attributes:
         limit: Total amount; a reload may change it, even to less than is in use.
         used: Amount that all frontends use together.
+        acquired_total: Sum of all amounts that were ever acquired.
         used_by_frontend: Amount that each registered frontend uses. A frontend that has left keeps its entry
             until it has released everything.
     """
@@ -22,6 +23,7 @@
     def __init__(self, limit: float) -> None:
         self.limit = limit
         self.used = 0.0
+        self.acquired_total = 0.0
         self.used_by_frontend: dict[object, float] = {}
         self._departed: set[object] = set()  # frontends that have left and still use some of the resource
 
@@ -47,6 +49,7 @@
     def acquire(self, frontend: object, amount: float) -> None:
         """Record that a frontend uses an amount; the caller checks `available_to` first."""
         self.used += amount
+        self.acquired_total += amount
         self.used_by_frontend[frontend] = self.used_by_frontend.get(frontend, 0.0) + amount
 
     def release(self, frontend: object, amount: float) -> None:
--- a/apigateway/core/in_flight_request.py
+++ b/apigateway/core/in_flight_request.py
@@ -19,7 +19,7 @@
 class NoUpstreamRequest:
     """The upstream request of a quota check and of a finished request: nothing is sent."""
 
-    body_size = 0  # bytes
+    size_bytes = 0  # bytes
 
     def encode(self, remaining: float) -> bytes:
         """Raise, because there is nothing to send to an endpoint."""
--- a/apigateway/core/in_flight_table.py
+++ b/apigateway/core/in_flight_table.py
@@ -15,6 +15,9 @@
 from apigateway.core.interfaces import InFlightRegistry, ResponseSink, UpstreamRequest
 from apigateway.core.outcomes import AcquireFailure
 
+# Share of the memory for clients that requests leave to the responses of those in flight.
+RESPONSE_SHARE = 0.25
+
 
 class DuplicateRequestError(Exception):
     """A request with this id is in flight, from any frontend, or a write that may have run."""
@@ -26,26 +29,27 @@
     Args:
         context: Collaborators of the core.
         max_in_flight: Maximum number of requests in flight, over all frontends.
-        max_body_bytes: Maximum total size of the bodies of these requests, over all frontends.
+        max_client_bytes: Maximum memory that clients use, over all frontends: received bytes, requests, and
+            responses that are not written.
     """
 
-    def __init__(self, context: CoreContext, max_in_flight: int, max_body_bytes: float) -> None:
+    def __init__(self, context: CoreContext, max_in_flight: int, max_client_bytes: float) -> None:
         self._context = context
         self.requests: dict[str, InFlightRequest] = {}  # by request id
         self.request_budget = Budget(max_in_flight)
-        self.body_budget = Budget(max_body_bytes)
+        self.memory_budget = Budget(max_client_bytes)
         self.executed = ExecutedRequests()
         self.drained = asyncio.Event()  # set when the last request is released while the gateway drains
 
     def register_frontend(self, frontend: object) -> None:
         """Reserve capacity for a frontend."""
         self.request_budget.join(frontend)
-        self.body_budget.join(frontend)
+        self.memory_budget.join(frontend)
 
     def unregister_frontend(self, frontend: object) -> None:
         """Return a frontend's reserved capacity to the other frontends."""
         self.request_budget.leave(frontend)
-        self.body_budget.leave(frontend)
+        self.memory_budget.leave(frontend)
 
     def is_in_flight(self, request_id: str, is_write: bool) -> bool:
         """Return whether a request may be running, or is a write that may have run, in any worker."""
@@ -77,7 +81,7 @@
         can_accept = (
             self._context.accepts_requests
             and self.request_budget.available_to(frontend) > 0
-            and self.body_budget.available_to(frontend) >= 0
+            and self.memory_budget.available_to(frontend) >= self.memory_budget.limit * RESPONSE_SHARE
         )
         registry = self._context.in_flight_registry
         if registry is not None and request.is_write:
@@ -120,7 +124,7 @@
         sink.token = in_flight
         self.requests[request.request_id] = in_flight
         self.request_budget.acquire(frontend, 1)
-        self.body_budget.acquire(frontend, upstream_request.body_size)
+        self.memory_budget.acquire(frontend, upstream_request.size_bytes)
         return in_flight
 
     def release_body(self, in_flight: InFlightRequest) -> None:
@@ -129,9 +133,9 @@
         The request itself may be referenced for longer, by attempts that have not ended and by a response
         that waits for its turn.
         """
-        body_size = in_flight.upstream_request.body_size
+        size_bytes = in_flight.upstream_request.size_bytes
         in_flight.upstream_request = NO_UPSTREAM_REQUEST
-        self.body_budget.release(in_flight.frontend, body_size)
+        self.memory_budget.release(in_flight.frontend, size_bytes)
 
     def release_if_ended(self, in_flight: InFlightRequest) -> None:
         """Release a request's place in the table once it is finished and its last attempt has ended."""
--- a/apigateway/core/input_scheduler.py
+++ b/apigateway/core/input_scheduler.py
@@ -4,7 +4,8 @@
 past their deadlines. All frontends share one scheduler. It is a fair queue by virtual time, as in the
 completely fair scheduler of Linux: the connection whose input has used the least time goes first. One that
 was idle for a while has saved up IDLE_CREDIT_S at most. A new one starts beside the first that waits. Time
-for commands that ask for no work, such as PING and invalid ones, counts NO_WORK_COST_FACTOR times.
+for commands that ask for no work, such as PING and invalid ones, counts BULK_COST_FACTOR times, as does that
+of a connection that has sent more than is read at once.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 ROUND_TIME_S = 0.02
 # Time by which a connection that was idle is ahead of those that wait.
 IDLE_CREDIT_S = 0.01
-NO_WORK_COST_FACTOR = 8.0
+BULK_COST_FACTOR = 8.0
 # Time for which input is handled as it is read, without queueing, between two turns.
 IMMEDIATE_TIME_S = 0.001
 
--- a/apigateway/core/interfaces.py
+++ b/apigateway/core/interfaces.py
@@ -70,7 +70,7 @@
 class UpstreamRequest(Protocol):
     """Encodes the message for endpoints; a frontend creates one per request."""
 
-    body_size: int  # bytes of the body budget that it uses; constant
+    size_bytes: int  # of the memory for clients that the request uses; constant
 
     def encode(self, remaining: float) -> bytes:
         """Return the complete message of one attempt with a timeout of `remaining` seconds.
--- a/apigateway/core/request_lifecycle.py
+++ b/apigateway/core/request_lifecycle.py
@@ -48,7 +48,7 @@
         counter: Client of the quota counter; None if the deployment has none.
         loop: Timers of the event loop.
         max_in_flight: Maximum number of requests in flight, over all frontends.
-        max_body_bytes: Maximum total size of the bodies of these requests, over all frontends.
+        max_client_bytes: Maximum memory that clients use, over all frontends.
         clock: Unix time in seconds that never jumps; by default a `MonotonicUnixClock`.
     """
 
@@ -60,14 +60,14 @@
         counter: QuotaCounter | None,
         loop: Scheduler,
         max_in_flight: int,
-        max_body_bytes: float,
+        max_client_bytes: float,
         clock: Callable[[], float] | None = None,
     ) -> None:
         super().__init__(settings, module, upstream, counter, loop, clock)
-        self.in_flight_table = InFlightTable(self, max_in_flight, max_body_bytes)
+        self.in_flight_table = InFlightTable(self, max_in_flight, max_client_bytes)
         self.in_flight = self.in_flight_table.requests
         self.request_budget = self.in_flight_table.request_budget
-        self.body_budget = self.in_flight_table.body_budget
+        self.memory_budget = self.in_flight_table.memory_budget
 
         self.events = EventDispatcher(self)
         self.responses = ResponseSender(self, self.in_flight_table, self.events)
--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -23,7 +23,8 @@
 from apigateway.daemon.endpoint_source import EndpointSourceFactory, reconciler_driver_of
 from apigateway.daemon.graceful_shutdown import complete_requests, retire_frontend
 from apigateway.daemon.kernel_resources import reserve_descriptors
-from apigateway.daemon.memory_limits import PROGRAM_BYTES
+from apigateway.daemon.memory_limits import max_client_bytes
+from apigateway.daemon.memory_trim import MemoryTrimmer
 from apigateway.frontends.resp.frontend import RespFrontend
 from apigateway.membership.listing import EndpointListing
 from apigateway.policy import Gateway
@@ -38,11 +39,6 @@
     from apigateway.plugins.manager import PluginManager
     from apigateway.policy.overload_gate import OverloadGate
 
-# Request bodies may always take this much memory, and incomplete commands as much again.
-MIN_BODY_BYTES = 4 * 1024 * 1024
-# Request bodies may take one part in BODY_MEMORY_DIVISOR of the memory that the program leaves, and
-# incomplete commands as much again.
-BODY_MEMORY_DIVISOR = 4
 # File descriptors reserved for other uses than connections of clients and to endpoints.
 RESERVED_DESCRIPTORS = 64
 
@@ -84,14 +80,13 @@
             max(config.max_descriptors - RESERVED_DESCRIPTORS, config.max_descriptors // 2) // 2
         )
         # Bounded because the process is killed when it exceeds its memory limit.
-        self._max_body_bytes = max(
-            MIN_BODY_BYTES, (config.memory_bytes - PROGRAM_BYTES) // BODY_MEMORY_DIVISOR
-        )
+        self._max_client_bytes = max_client_bytes(config.memory_bytes)
         self.upstream = UpstreamConnections(
             config.connect_timeout, config.idle_timeout, self._max_client_connections
         )
         self.counter = _create_counter(config)
         self.core = self._create_core()
+        self._memory_trimmer = MemoryTrimmer(self.core.memory_budget)
         self.endpoint_list = EndpointListState(self.core, config.known_endpoints)
         self.frontends: list[Frontend] = []
         self._overload_gate: OverloadGate | None = None
@@ -120,7 +115,7 @@
             self.counter,
             self.loop,
             self.config.max_in_flight,
-            self._max_body_bytes,
+            self._max_client_bytes,
             self.clock,
         )
 
@@ -151,10 +146,14 @@
         if address in config.grpc_listeners:
             assert ratelimit is not None and ratelimit_config is not None
             return ratelimit.create_frontend(
-                address, self._max_client_connections, self._max_body_bytes, ratelimit_config
+                address, self._max_client_connections, self._max_client_bytes, ratelimit_config
             )
         frontend = RespFrontend(
-            self.core, self._max_client_connections, self._max_body_bytes, address, config.gateways_at_address
+            self.core,
+            self._max_client_connections,
+            self._max_client_bytes,
+            address,
+            config.gateways_at_address,
         )
         frontend.set_tokens(ratelimit.tokens if ratelimit is not None else None)
         return frontend
@@ -172,6 +171,7 @@
         if self.config.evacuated_zones:
             self.endpoint_list.evacuate_zones(self.config.evacuated_zones)
         self.upstream.start_idle_checks()
+        self._memory_trimmer.start()
         if self.counter:
             self.counter.start()
         if self.core.settings.discovery_mode == messages.DiscoveryMode.PUSH:
@@ -199,7 +199,7 @@
         """Divide the limits on connections and on bytes of incomplete commands evenly among the frontends."""
         count = len(self.frontends)
         for frontend in self.frontends:
-            frontend.set_limits(self._max_client_connections // count, self._max_body_bytes // count)
+            frontend.set_limits(self._max_client_connections // count, self._max_client_bytes // count)
 
     # Reconfiguration: these steps neither wait nor fail
 
@@ -353,6 +353,7 @@
         await self._close()
 
     async def _close(self) -> None:
+        self._memory_trimmer.stop()
         self.upstream.close()
         if self.counter:
             self.counter.close()
--- a/apigateway/frontends/grpc/connection.py
+++ b/apigateway/frontends/grpc/connection.py
@@ -72,6 +72,9 @@
     def update_partial_bytes(self, connection: GrpcConnection) -> bool:
         """Update the total of partial message bytes; return False if it exceeds the limit."""
 
+    def count_memory(self, size: int) -> None:
+        """Add to the memory that connections use, or subtract from it."""
+
 
 class GrpcConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one client connection."""
@@ -83,6 +86,7 @@
         self.open_calls: dict[int, OpenCall] = {}  # by stream id
         self._stream_handlers: dict[int, StreamHandler] = {}  # the streaming calls among them
         self.partial_bytes = 0  # of partial messages, as last counted by the owner
+        self._counted_bytes = 0  # of the memory for clients: received, partial and not written
         self.last_received_at = monotonic()
         self._input = ConnectionInput(self._handle_input)
         self._received = bytearray()  # waits for its turn
@@ -106,6 +110,8 @@
         """Cancel all open calls."""
         self._owner.on_disconnected(self)
         self.session.on_connection_lost()
+        self._received.clear()
+        self._count_memory()
         open_calls = self.open_calls
         self.open_calls = {}
         self._stream_handlers = {}
@@ -136,8 +142,16 @@
             self._received.clear()
         if not self._received:
             self._resume_reading()
+        self._count_memory()
         return bool(self._received)
 
+    def _count_memory(self) -> None:
+        session = self.session
+        held_bytes = len(self._received) + session.partial_bytes + session.responses.unsent_bytes
+        if held_bytes != self._counted_bytes:
+            self._owner.count_memory(held_bytes - self._counted_bytes)
+            self._counted_bytes = held_bytes
+
     def _receive(self, data: bytes) -> None:
         """Parse received bytes and dispatch the calls to their methods."""
         self._is_reading = True
@@ -226,6 +240,7 @@
         data = self.session.data_to_send()
         if data:
             self.transport.write(data)
+        self._count_memory()
         if self.session.must_close:
             self.transport.close()
         elif self.session.is_finished and not self._is_close_scheduled:
--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -172,6 +172,13 @@
         connection.partial_bytes = size
         return not size or self._partial_bytes <= self._max_partial_bytes
 
+    def count_memory(self, size: int) -> None:
+        """Add to the memory that connections use, or subtract from it."""
+        if size >= 0:
+            self.core.memory_budget.acquire(self, size)
+        else:
+            self.core.memory_budget.release(self, -size)
+
     # Timeouts
 
     def _sweep(self) -> None:
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -12,7 +12,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING, cast
 
-from apigateway.core.input_scheduler import NO_WORK_COST_FACTOR, ConnectionInput
+from apigateway.core.input_scheduler import BULK_COST_FACTOR, ConnectionInput
 from apigateway.frontends.read_buffer import READ_BUFFER, READ_BYTES
 from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.upstream import socket_state
@@ -23,6 +23,10 @@
 
 # Commands of one connection without a response. At this limit the connection is not read.
 MAX_PENDING_COMMANDS = 512
+# Bytes that wait for a client to read them before the connection counts as blocked.
+WRITE_BUFFER_BYTES = 16 * 1024
+# Responses are passed to the transport in batches of this size.
+WRITE_BATCH_BYTES = 64 * 1024
 # Bytes that are read and dropped after a framing error, because closing with unread input resets the
 # connection. A client that sends more wastes CPU and is aborted.
 MAX_DROPPED_BYTES = 256 * 1024
@@ -41,10 +45,14 @@
         self.framing = Framing()
         self.pending_slots: deque[ResponseSlot] = deque()
         self.partial_bytes = 0  # of a partial command, as last counted by the server
+        self.request_bytes = 0  # of pending commands without a response
+        self.response_bytes = 0  # of responses that are not passed to the transport
+        self.counted_bytes = 0  # of the memory for clients, received bytes and responses
         self.dropped_bytes = 0  # received after a framing error
         self.received_at = 0.0  # when data was last read, by the input scheduler's clock
         self.arrived_at = 0.0  # when the data that was last read may have arrived, at the earliest
         self.unread_since = 0.0  # since when unread data may wait, if `may_have_unread`
+        self.is_backlogged = False  # the last read filled the buffer
         self.may_have_unread = False  # the connection was not read, or not to the end
         self.is_closing = False  # it closes once no command is pending
         self.is_framing_lost = False  # no further input can be parsed
@@ -61,11 +69,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.server.on_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection and cancel its pending commands."""
         self.server.on_disconnected(self)
+        self.framing.clear()
         self.cancel_pending()
 
     def eof_received(self) -> None:
@@ -98,6 +108,7 @@
         """Record when the data that was read may have arrived: since the socket was last seen empty."""
         self.received_at = now
         self.arrived_at = self.unread_since if self.may_have_unread else now
+        self.is_backlogged = is_buffer_full
         self.may_have_unread = is_buffer_full
         self.unread_since = self.arrived_at
 
@@ -115,6 +126,7 @@
         """Resume reading from a client that reads its responses again."""
         self.is_write_blocked = False
         self.server.on_write_resumed(self)
+        self.flush()
         self._resume_input()
         self._update_reading()
 
@@ -140,6 +152,7 @@
             self.is_deferred = False
             self._fail_connection(PARTIAL_COMMANDS_LIMIT_RESPONSE)
             return False
+        self._count_memory()
         if not self.pending_slots and not self.is_deferred:
             self._on_all_answered()
         self._update_reading()
@@ -155,16 +168,18 @@
     def _read_commands(self, until: float) -> bool:
         """Read commands until a time, and return whether some may be left. Raises FramingError."""
         clock = self.server.input_scheduler.clock
-        self.input.cost_factor = 1.0
+        self.input.cost_factor = BULK_COST_FACTOR if self.is_backlogged else 1.0
         while self._can_read_commands():
+            available_bytes = len(self.framing.buffer)
             command = self.framing.next_message()
             if command is NO_MESSAGE:
                 return False
-            slot = ResponseSlot(self)
+            slot = ResponseSlot(self, available_bytes - len(self.framing.buffer))
+            self.request_bytes += slot.size_bytes
             self.pending_slots.append(slot)
             self.server.idle_since.pop(self, None)
             if not self.server.handler.on_command(slot, command):
-                self.input.cost_factor = NO_WORK_COST_FACTOR
+                self.input.cost_factor = BULK_COST_FACTOR
             if not self.framing.buffer:
                 return False
             if clock() >= until:
@@ -172,8 +187,12 @@
         return True
 
     def _can_read_commands(self) -> bool:
-        """Return whether the client reads its responses, and not too many commands are pending."""
-        return not self.is_write_blocked and len(self.pending_slots) < MAX_PENDING_COMMANDS
+        """Return whether the client reads its responses, and its pending commands are within the limits."""
+        return (
+            not self.is_write_blocked
+            and len(self.pending_slots) < MAX_PENDING_COMMANDS
+            and self.request_bytes + self.response_bytes <= self.server.max_connection_bytes
+        )
 
     def _resume_input(self) -> None:
         """Have the deferred commands handled, if what they waited for has happened."""
@@ -191,6 +210,7 @@
         """Stop reading until the commands in the buffer have been handled."""
         self.is_deferred = True
         self.server.update_partial_bytes(self, len(self.framing.buffer))
+        self._count_memory()
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -218,24 +238,49 @@
 
     # Responses
 
+    def can_hold_response(self, slot: ResponseSlot, size: int) -> bool:
+        """Return whether a response can be written at once, or there is memory for it until it can."""
+        is_next = self.pending_slots and self.pending_slots[0] is slot and not self.is_write_blocked
+        return bool(is_next) or self.server.has_memory(size)
+
+    def on_response(self, slot: ResponseSlot, size: int) -> None:
+        """Count a slot's response in place of its command, and write what is next in order."""
+        self.request_bytes -= slot.size_bytes
+        slot.size_bytes = size
+        self.response_bytes += size
+        self.flush()
+
+    def _count_memory(self) -> None:
+        held_bytes = len(self.framing.buffer) + self.response_bytes
+        if held_bytes != self.counted_bytes:
+            self.server.count_memory(held_bytes - self.counted_bytes)
+            self.counted_bytes = held_bytes
+
+    def _write_responses(self) -> None:
+        """Write the responses that are next in order, until the transport does not take more."""
+        pending = self.pending_slots
+        while pending and pending[0].response is not None and not self.is_write_blocked:
+            responses: list[bytes] = []
+            batch_bytes = 0
+            while pending and batch_bytes < WRITE_BATCH_BYTES and pending[0].response is not None:
+                slot = pending.popleft()
+                batch_bytes += slot.size_bytes
+                assert slot.response is not None
+                responses.append(slot.response)
+            self.response_bytes -= batch_bytes
+            if len(responses) == 1:
+                self.transport.write(responses[0])
+            else:
+                self.transport.writelines(responses)
+
     def flush(self) -> None:
         """Write the responses that are next in order; close a closing connection after the last one."""
         if self.is_reading_commands:
             self.has_unflushed_responses = True
             return
+        self._write_responses()
+        self._count_memory()
         pending = self.pending_slots
-        if len(pending) == 1 and (response := pending[0].response) is not None:  # fast path
-            pending.popleft()
-            self.transport.write(response)
-        elif pending and pending[0].response is not None:
-            responses: list[bytes] = []
-            while pending:
-                response = pending[0].response
-                if response is None:
-                    break
-                pending.popleft()
-                responses.append(response)
-            self.transport.writelines(responses)
         if not pending and not self.is_deferred:
             self.server.on_idle(self)
             if self.is_closing and not self._has_commands_to_read():
@@ -252,6 +297,9 @@
         self.is_closing = True
         pending = self.pending_slots
         self.pending_slots = deque()
+        self.request_bytes = 0
+        self.response_bytes = 0
+        self._count_memory()
         for slot in pending:
             if slot.response is None:
                 self.server.handler.on_client_disconnected(slot)
@@ -292,6 +340,11 @@
         self.server.idle_since[self] = monotonic()
         return True
 
+    def has_unwritten_response(self) -> bool:
+        """Return whether a response waits for the client to read earlier ones."""
+        is_waiting = bool(self.pending_slots) and self.pending_slots[0].response is not None
+        return is_waiting or bool(self.transport.get_write_buffer_size())
+
     def has_unread_commands(self) -> bool:
         """Return whether received bytes wait to be read from the socket or to be parsed."""
         if self.is_half_closed or self.is_framing_lost or self.transport.is_closing():
@@ -314,6 +367,8 @@
         for slot in list(self.pending_slots):
             if slot.response is None:
                 slot.response = FAILED_RESPONSE  # the client must not wait for the response
+                self.request_bytes -= slot.size_bytes
+                slot.size_bytes = 0
                 self.server.handler.on_client_disconnected(slot)
         slot = ResponseSlot(self)
         self.pending_slots.append(slot)
--- a/apigateway/frontends/resp/command.py
+++ b/apigateway/frontends/resp/command.py
@@ -21,6 +21,9 @@
 FIELDS_PART = 3
 BODY_PART = 4
 
+# Memory of a request in flight without the text of its command, rounded up.
+REQUEST_BYTES = 4096
+
 # Field names on the wire.
 CLASS_FIELD = b"c"
 PLAN_FIELD = b"t"
@@ -76,11 +79,11 @@
 class UpstreamCommand:
     """The command for hosts: the client's command with another timeout `d`."""
 
-    __slots__ = ("parts", "body_size")
+    __slots__ = ("parts", "size_bytes")
 
     def __init__(self, parts: list[bytes]) -> None:
         self.parts = parts
-        self.body_size = len(parts[-1])  # size of the last part: the body of a write, the fields of a read
+        self.size_bytes = REQUEST_BYTES + sum(map(len, parts))
 
     def encode(self, remaining: float) -> bytes:
         """Encode the command for an attempt with a timeout of `remaining` seconds."""
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -59,7 +59,9 @@
         self.core = core
         self.address = address
         self.port = address[1]
-        self.server = RespServer(self, core.input_scheduler, max_connections, max_partial_bytes)
+        self.server = RespServer(
+            self, core.input_scheduler, core.memory_budget, max_connections, max_partial_bytes
+        )
         self._group_size = group_size
         self._fields_cache: FieldsCache = {}
         self._scanner: CommandScanner | None = None
--- a/apigateway/frontends/resp/interfaces.py
+++ b/apigateway/frontends/resp/interfaces.py
@@ -32,6 +32,11 @@
     handler: CommandHandler
     admission: AdmissionController | None
     input_scheduler: InputScheduler
+
+    @property
+    def max_connection_bytes(self) -> float:
+        """The memory for one connection's commands and responses."""
+
     idle_since: dict[ClientConnection, float]
 
     def on_connected(self, connection: ClientConnection) -> None:
@@ -52,6 +57,12 @@
     def on_write_resumed(self, connection: ClientConnection) -> None:
         """Record that the client reads again."""
 
+    def has_memory(self, size: int) -> bool:
+        """Return whether clients may use `size` bytes more."""
+
+    def count_memory(self, size: int) -> None:
+        """Add to the memory that connections use, or subtract from it."""
+
     def on_read_paused(self, connection: ClientConnection) -> None:
         """Record that a connection is not read, so that a disconnect must be polled for."""
 
--- a/apigateway/frontends/resp/response_slot.py
+++ b/apigateway/frontends/resp/response_slot.py
@@ -13,15 +13,18 @@
 
 FAILED_RESPONSE = b"-ERR failed\r\n"
 BUSY_RESPONSE = b"-BUSY\r\n"
+# Memory of a slot with its response, without the response's text.
+SLOT_BYTES = 250
 
 
 class ResponseSlot:
     """Holds the response of one command until its turn to be written; a `ResponseSink` of the core."""
 
-    __slots__ = ("connection", "response", "token", "redeemed_token")
+    __slots__ = ("connection", "size_bytes", "response", "token", "redeemed_token")
 
-    def __init__(self, connection: ClientConnection) -> None:
+    def __init__(self, connection: ClientConnection, command_bytes: int = 0) -> None:
         self.connection = connection
+        self.size_bytes = command_bytes  # of the command, and of the response once there is one
         self.response: bytes | None = None
         self.token: Any = None  # the core's in-flight record of the command
         self.redeemed_token: Token | None = None  # the quota check's token sent with the command
@@ -30,7 +33,7 @@
         """Set the response, unless there is one, and write it once all earlier responses are written."""
         if self.response is None:
             self.response = response
-            self.connection.flush()
+            self.connection.on_response(self, len(response) + SLOT_BYTES)
 
     def is_client_connected(self) -> bool:
         """Return whether the client is still there.
@@ -41,8 +44,11 @@
         return not (connection.transport.is_closing() or connection.is_closed_by_peer())
 
     def complete(self, value: bytes) -> None:
-        """Respond with the value from a host."""
-        self.respond(encode_bulk_string(value))
+        """Respond with the value from a host, or that the command failed if there is no memory for it."""
+        if self.connection.can_hold_response(self, len(value)):
+            self.respond(encode_bulk_string(value))
+        else:
+            self.fail()
 
     def reject(self, retry_after: float) -> None:
         """Respond that the command did not run; retry after `retry_after` seconds, 0 if unknown."""
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from apigateway.core.admission import AdmissionController
+    from apigateway.core.budget import Budget
     from apigateway.core.input_scheduler import InputScheduler
     from apigateway.frontends.resp.interfaces import CommandHandler
 
@@ -33,6 +34,10 @@
 # Polling interval for disconnects on connections that are not read. No request may be forwarded for a client
 # that has disconnected.
 DISCONNECT_CHECK_INTERVAL_S = 0.1
+# Share of the memory for clients that the commands and responses of one connection may use, at least
+# MIN_CONNECTION_BYTES.
+CONNECTION_SHARE = 0.125
+MIN_CONNECTION_BYTES = 256 * 1024
 # Idle connections that are considered when one must be evicted.
 MAX_EVICTION_CANDIDATES = 8
 
@@ -47,6 +52,7 @@
     Args:
         handler: Handles the commands.
         input_scheduler: Divides the time for commands among the connections of all frontends.
+        memory_budget: The memory for the clients of all frontends.
         max_connections: The maximum number of connections.
         max_partial_bytes: The maximum bytes of partial commands on all connections together.
     """
@@ -55,11 +61,13 @@
         self,
         handler: CommandHandler,
         input_scheduler: InputScheduler,
+        memory_budget: Budget,
         max_connections: int,
         max_partial_bytes: int,
     ) -> None:
         self.handler = handler
         self.input_scheduler = input_scheduler
+        self._memory_budget = memory_budget
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
         self.admission: AdmissionController | None = None  # None if load shedding is off
@@ -156,7 +164,7 @@
     @property
     def has_unwritten_responses(self) -> bool:
         """Whether a response is not completely written."""
-        return any(connection.transport.get_write_buffer_size() for connection in self.connections)
+        return any(connection.has_unwritten_response() for connection in self.connections)
 
     # Callbacks of connections (client_connection.ConnectionOwner)
 
@@ -218,6 +226,22 @@
         connection.partial_bytes = size
         return not size or self.partial_bytes <= self.max_partial_bytes
 
+    @property
+    def max_connection_bytes(self) -> float:
+        """The memory for one connection's commands and responses; beyond it no command is read."""
+        return max(MIN_CONNECTION_BYTES, self._memory_budget.limit * CONNECTION_SHARE)
+
+    def has_memory(self, size: int) -> bool:
+        """Return whether clients may use `size` bytes more."""
+        return self._memory_budget.available_to(self.handler) >= size
+
+    def count_memory(self, size: int) -> None:
+        """Add to the memory that connections use, or subtract from it."""
+        if size >= 0:
+            self._memory_budget.acquire(self.handler, size)
+        else:
+            self._memory_budget.release(self.handler, -size)
+
     # Limits
 
     def _evict(self) -> bool:
