--- a/apigateway/core/attempts.py
+++ b/apigateway/core/attempts.py
@@ -45,6 +45,7 @@
         self._table = table
         self._events = events
         self._responses = responses
+        self._logs_attempts = log.isEnabledFor(logging.DEBUG)  # read once: it is asked for every attempt
 
     def forward(self, action: messages.ForwardRequest) -> None:
         """Send one attempt, or report it as abandoned if it may not be sent."""
@@ -108,6 +109,8 @@
             self._report_abandoned(in_flight, number, endpoint_id)
             return
         in_flight.active_attempts[number] = attempt
+        if self._logs_attempts:
+            log.debug("request %s: attempt %d at %s", in_flight.request_id, number, endpoint_id)
         upstream.send(attempt, timeout)
 
     def _report_abandoned(self, in_flight: InFlightRequest, number: int, endpoint_id: str) -> None:
@@ -122,6 +125,8 @@
         in_flight, number = tag
         result = attempt.result
         del in_flight.active_attempts[number]
+        if self._logs_attempts:
+            log.debug("request %s: attempt %d ended: %s", in_flight.request_id, number, result)
         if in_flight.is_write and result not in _NOT_RUN:
             in_flight.may_have_run = True
         if in_flight.is_finished:
--- a/apigateway/core/input_scheduler.py
+++ b/apigateway/core/input_scheduler.py
@@ -41,15 +41,17 @@
     Attributes:
         virtual_time_s: The time that its input has used, counted from that of others when it was last idle;
             None before its first input.
+        used_s: The time that its input has used since the last report.
         cost_factor: What the time of the slice that was handled last counts, set by `handle_input`.
         is_queued: Whether it waits for its turn. Its connection is not read meanwhile.
     """
 
-    __slots__ = ("handle_input", "virtual_time_s", "cost_factor", "is_queued")
+    __slots__ = ("handle_input", "virtual_time_s", "used_s", "cost_factor", "is_queued")
 
     def __init__(self, handle_input: Callable[[float], bool]) -> None:
         self.handle_input = handle_input
         self.virtual_time_s: float | None = None
+        self.used_s = 0.0
         self.cost_factor = 1.0
         self.is_queued = False
 
@@ -70,6 +72,9 @@
         self._virtual_time_s = 0.0  # of the connection that was handled last; the least of all that wait
         self._immediate_time_s = 0.0  # used since the last turn
         self._is_turn_scheduled = False
+        self._turn_scheduled_at = 0.0
+        self._queued_count = 0  # how often input was queued, since it was last taken
+        self._longest_delay_s = 0.0
         self._current: ConnectionInput | None = None  # whose input is being handled
 
     @property
@@ -77,6 +82,18 @@
         """How many connections have input that waits for its turn."""
         return len(self._queue)
 
+    def take_queued_count(self) -> int:
+        """Return how often input had to wait for a turn since the last call."""
+        count = self._queued_count
+        self._queued_count = 0
+        return count
+
+    def take_longest_delay_s(self) -> float:
+        """Return by how much turns were late at most since the last call."""
+        delay_s = self._longest_delay_s
+        self._longest_delay_s = 0.0
+        return delay_s
+
     def handle(self, source: ConnectionInput) -> None:
         """Handle a connection's input now, or in a later turn if there is no time now."""
         if self._queue or self._immediate_time_s >= IMMEDIATE_TIME_S:
@@ -95,6 +112,7 @@
         if source.is_queued or source is self._current:
             return
         source.is_queued = True
+        self._queued_count += 1
         source.virtual_time_s = self._start_time_s(source)
         heapq.heappush(self._queue, (source.virtual_time_s, next(self._numbers), source))
         self._schedule_turn()
@@ -104,6 +122,7 @@
         self._is_turn_scheduled = False
         self._immediate_time_s = 0.0
         now = self.clock()
+        self._longest_delay_s = max(self._longest_delay_s, now - self._turn_scheduled_at)
         turn_ends_at = now + TURN_TIME_S
         try:
             while self._queue and now < turn_ends_at:
@@ -126,7 +145,9 @@
         finally:
             self._current = None
         ended_at = self.clock()
-        source.virtual_time_s = virtual_time_s + (ended_at - started_at) * source.cost_factor
+        elapsed_s = ended_at - started_at
+        source.used_s += elapsed_s
+        source.virtual_time_s = virtual_time_s + elapsed_s * source.cost_factor
         if has_more:
             self.enqueue(source)
         return ended_at
@@ -143,4 +164,5 @@
     def _schedule_turn(self) -> None:
         if not self._is_turn_scheduled:
             self._is_turn_scheduled = True
+            self._turn_scheduled_at = self.clock()
             self._loop.call_soon(self.run_turn)
--- a/apigateway/core/responses.py
+++ b/apigateway/core/responses.py
@@ -19,6 +19,10 @@
 # Events that belong to a request which may be in flight.
 _REQUEST_EVENTS = (messages.Request, messages.RejectedByPlugin, messages.AttemptOutcome)
 
+# At most MAX_LATE_LINES lines are logged in this time on responses that are late.
+LATE_LOG_INTERVAL_S = 1.0
+MAX_LATE_LINES = 5
+
 log = logging.getLogger(__name__)
 
 
@@ -29,6 +33,8 @@
         self._context = context
         self._table = table
         self._events = events
+        self._late_since = -LATE_LOG_INTERVAL_S
+        self._late_count = 0  # of responses after their client's timeout, since `_late_since`
         self._logs_times = log.isEnabledFor(logging.DEBUG)  # read once: it is asked for every response
 
     def reject_unaccepted(self, sink: ResponseSink) -> None:
@@ -88,6 +94,9 @@
         self._respond(in_flight, outcome, response)
         if self._logs_times:
             self._log_time(in_flight, outcome)
+        late_s = time.monotonic() - in_flight.deadline - RESPONSE_MARGIN_S
+        if late_s > 0 and outcome != RequestOutcome.DISCONNECTED:
+            self._log_late(in_flight, outcome, late_s)
         if in_flight.active_attempts:
             self._abandon_unwritten_attempts(in_flight)
         if in_flight.plugins is not None:
@@ -128,6 +137,22 @@
         except Exception:  # the request's capacity must be released even if the frontend raises
             log.exception("request %s: the frontend failed to send the response", in_flight.request_id)
 
+    def _log_late(self, in_flight: InFlightRequest, outcome: RequestOutcome, late_s: float) -> None:
+        """Log a response that comes after its client's timeout, a few lines a second at most."""
+        now = time.monotonic()
+        if now - self._late_since >= LATE_LOG_INTERVAL_S:
+            self._late_since = now
+            self._late_count = 0
+        self._late_count += 1
+        if self._late_count <= MAX_LATE_LINES:
+            log.warning(
+                "request %s: %s %.3f s after its client's timeout, attempts: %d",
+                in_flight.request_id,
+                outcome.name,
+                late_s,
+                in_flight.attempt_count,
+            )
+
     def _log_time(self, in_flight: InFlightRequest, outcome: RequestOutcome) -> None:
         """Log how long before its client's timeout a response was written."""
         left_s = in_flight.deadline + RESPONSE_MARGIN_S - time.monotonic()
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -14,6 +14,7 @@
 
 from apigateway.core.input_scheduler import BULK_COST_FACTOR, ConnectionInput
 from apigateway.frontends.read_buffer import READ_BUFFER, READ_BYTES
+from apigateway.frontends.resp.activity_log import CloseReason
 from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.upstream import socket_state
 from apigateway.upstream.framing import NO_MESSAGE, Framing, FramingError
@@ -41,6 +42,8 @@
 
     def __init__(self, server: ConnectionOwner) -> None:
         self.server = server
+        self.number = 0  # set by the server, from 1
+        self.peer = ""  # the client's address
         self.transport: asyncio.Transport
         self.framing = Framing()
         self.pending_slots: deque[ResponseSlot] = deque()
@@ -95,6 +98,7 @@
         if self.is_framing_lost:
             self.dropped_bytes += nbytes
             if self.dropped_bytes > MAX_DROPPED_BYTES:
+                self.server.activity.on_closed(self, CloseReason.INPUT_AFTER_ERROR)
                 self.transport.abort()
             return
         self.framing.feed(READ_BUFFER[:nbytes])
@@ -144,13 +148,13 @@
         except FramingError:
             self.is_deferred = False
             self._end_reading_commands()
-            self._fail_connection(PROTOCOL_ERROR_RESPONSE)
+            self._fail_connection(PROTOCOL_ERROR_RESPONSE, CloseReason.PROTOCOL_ERROR)
             return False
         finally:
             self._end_reading_commands()
         if not self.server.update_partial_bytes(self, len(self.framing.buffer)):
             self.is_deferred = False
-            self._fail_connection(PARTIAL_COMMANDS_LIMIT_RESPONSE)
+            self._fail_connection(PARTIAL_COMMANDS_LIMIT_RESPONSE, CloseReason.PARTIAL_COMMAND_MEMORY)
             return False
         self._count_memory()
         if not self.pending_slots and not self.is_deferred:
@@ -238,6 +242,11 @@
 
     # Responses
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the client makes the gateway hold: received bytes, commands and responses."""
+        return len(self.framing.buffer) + self.request_bytes + self.response_bytes
+
     def can_hold_response(self, slot: ResponseSlot, size: int) -> bool:
         """Return whether a response can be written at once, or there is memory for it until it can."""
         is_next = self.pending_slots and self.pending_slots[0] is slot and not self.is_write_blocked
@@ -309,7 +318,7 @@
         if self.is_half_closed or self.transport.is_closing() or self.is_deferred or self.has_unread_data():
             return
         if self.partial_bytes:
-            self._fail_connection(PARTIAL_COMMAND_TIMEOUT_RESPONSE)
+            self._fail_connection(PARTIAL_COMMAND_TIMEOUT_RESPONSE, CloseReason.PARTIAL_COMMAND_TIMEOUT)
         else:
             self.close_when_answered()
 
@@ -359,8 +368,9 @@
         """Return whether the client closed the connection or its sending side, even with unread data."""
         return socket_state.is_closed_by_peer(self.transport.get_extra_info("socket"))
 
-    def _fail_connection(self, response: bytes) -> None:
+    def _fail_connection(self, response: bytes, reason: CloseReason) -> None:
         """Fail pending commands, send `response` and close: no further input can be parsed."""
+        self.server.activity.on_closed(self, reason)
         self.is_framing_lost = True
         self.is_closing = True
         self.server.update_partial_bytes(self, 0)
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -32,6 +32,7 @@
 PONG_RESPONSE = b"+PONG\r\n"
 NOT_READY_RESPONSE = b"-ERR not ready\r\n"
 DUPLICATE_RESPONSE = b"-ERR this id is in work\r\n"
+DUPLICATE_REASON = "id in flight or run before"
 TOKEN_PREFIX = b"tok="  # field with the token of a quota check
 
 log = logging.getLogger(__name__)
@@ -177,10 +178,12 @@
                 request = self._redeem_token(self._tokens, request, upstream_request.parts[FIELDS_PART], slot)
             self.core.submit(self, request, upstream_request, slot)
         except InvalidCommandError as error:
+            self.server.activity.on_refused(slot.connection, str(error))
             slot.respond(b"-ERR %s\r\n" % str(error).encode())
             return False
         except DuplicateRequestError:
             self.restore_token(slot)
+            self.server.activity.on_refused(slot.connection, DUPLICATE_REASON)
             slot.respond(DUPLICATE_RESPONSE)
             return False
         except Exception:
--- a/apigateway/frontends/resp/interfaces.py
+++ b/apigateway/frontends/resp/interfaces.py
@@ -9,6 +9,7 @@
 
 from apigateway.core.admission import AdmissionController
 from apigateway.core.input_scheduler import InputScheduler
+from apigateway.frontends.resp.activity_log import ActivityLog
 from apigateway.frontends.resp.client_connection import ClientConnection
 from apigateway.frontends.resp.response_slot import ResponseSlot
 
@@ -32,6 +33,7 @@
     handler: CommandHandler
     admission: AdmissionController | None
     input_scheduler: InputScheduler
+    activity: ActivityLog
 
     @property
     def max_connection_bytes(self) -> float:
--- a/apigateway/frontends/resp/response_slot.py
+++ b/apigateway/frontends/resp/response_slot.py
@@ -48,6 +48,7 @@
         if self.connection.can_hold_response(self, len(value)):
             self.respond(encode_bulk_string(value))
         else:
+            self.connection.server.activity.on_failed_for_memory()
             self.fail()
 
     def reject(self, retry_after: float) -> None:
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from apigateway.frontends.listener import Listener
+from apigateway.frontends.resp.activity_log import ActivityLog, CloseReason
 from apigateway.frontends.resp.client_connection import ClientConnection
 from apigateway.upstream.address import Address
 
@@ -68,6 +69,8 @@
         self.handler = handler
         self.input_scheduler = input_scheduler
         self._memory_budget = memory_budget
+        self.activity = ActivityLog(input_scheduler)
+        self._connection_count = 0  # since the start
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
         self.admission: AdmissionController | None = None  # None if load shedding is off
@@ -171,7 +174,11 @@
     def on_connected(self, connection: ClientConnection) -> None:
         """Register a new connection; reject it if the limit is reached and no other can be evicted."""
         self.connections.add(connection)
+        self._connection_count += 1
+        connection.number = self._connection_count
+        connection.peer = _format_address(connection.transport.get_extra_info("peername"))
         if len(self.connections) > self.max_connections and not self._evict():  # file descriptors are limited
+            self.activity.on_closed(connection, CloseReason.TOO_MANY_CONNECTIONS)
             connection.transport.write(TOO_MANY_CONNECTIONS_RESPONSE)
             connection.is_closing = True
             connection.is_framing_lost = True
@@ -256,6 +263,7 @@
             if not (
                 connection.transport.is_closing() or connection.is_deferred or connection.has_unread_data()
             ):
+                self.activity.on_closed(connection, CloseReason.EVICTED)
                 connection.transport.close()
                 connection.is_closing = True
                 return True
@@ -270,7 +278,9 @@
         for connection in _expired(self.closing_since, now - CLOSING_TIMEOUT_S):
             connection.transport.abort()
         for connection in _expired(self.write_blocked_since, now - WRITE_BLOCKED_TIMEOUT_S):
+            self.activity.on_closed(connection, CloseReason.RESPONSES_UNREAD)
             connection.transport.abort()
+        self.activity.report(now, self.connections)
 
     def _schedule_disconnect_check(self) -> None:
         self._disconnect_check_timer = asyncio.get_running_loop().call_later(
@@ -293,3 +303,8 @@
 def _expired(since: dict[ClientConnection, float], before: float) -> list[ClientConnection]:
     """Return the connections whose timeout started before `before`."""
     return [connection for connection, started_at in since.items() if started_at < before]
+
+
+def _format_address(address: object) -> str:
+    """Return a peer's address as text; empty if it is not known any more."""
+    return f"{address[0]}:{address[1]}" if isinstance(address, tuple) else ""
