Play hosts that are replaced at their address in the soak of hostile clients

Change: two in five plans replace up to four hosts at their address, under the same id with a newer start or a new id, after 0 to 0.2 s, told at once, 0.1 or 1.5 s later; six tests play each way for itself, six replacements in a row.

A gateway that is not told of a new process cannot know its slow start; those calls are what the rule leaves out.

--- a/apigateway/tools/hostile_soak/plan.py
+++ b/apigateway/tools/hostile_soak/plan.py
@@ -4,9 +4,10 @@
 
 import random
 from dataclasses import dataclass, fields, replace
+from typing import Any
 
 from apigateway.emulators.hostile_clients import AbuseKind
-from apigateway.tools.shutdown_soak.plan import Pause, Program, SoakPlan, draw_plan
+from apigateway.tools.shutdown_soak.plan import HOST_COUNT, Pause, Program, SoakPlan, draw_plan
 
 FLOOD_CONNECTIONS = (1, 6, 20, 60)
 CROWD_CONNECTIONS = (200, 450, 900)
@@ -19,6 +20,11 @@
 PAUSE_SHARE = 0.25  # of the runs, as the next two
 REST_SHARE = 0.3
 REPEATING_CLIENTS_SHARE = 0.5
+REPLACEMENTS_SHARE = 0.4
+MAX_REPLACEMENTS = 4
+DOWN_TIMES_S = (0.0, 0.05, 0.2)
+TOLD_AFTER_S = (0.0, 0.1, 1.5)
+NEW_ID_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +37,23 @@
     lasts_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A host's process that is replaced at its address, `at_s` seconds after the judged clients have started.
+
+    Attributes:
+        down_s: How long nobody listens at the address.
+        told_after_s: How long after the new process started discovery tells of it.
+        has_new_id: Whether the new process has another id.
+    """
+
+    host: int
+    at_s: float
+    down_s: float
+    told_after_s: float
+    has_new_id: bool
+
+
 @dataclass(frozen=True, slots=True)
 class HostilePlan:
     """One run.
@@ -40,6 +63,7 @@
         abuses: What abusive clients do meanwhile.
         repeating_clients: Clients that leave and send the same request again on a new connection.
         departing_pipeliners: Clients that send many requests at once and leave.
+        replacements: Hosts that are replaced meanwhile.
         has_rest: Whether the gateway gets REST_S before its end, after which its memory is judged.
     """
 
@@ -47,6 +71,7 @@
     abuses: tuple[Abuse, ...]
     repeating_clients: int = 0
     departing_pipeliners: int = 0
+    replacements: tuple[Replacement, ...] = ()
     has_rest: bool = False
 
     def __str__(self) -> str:
@@ -69,17 +94,33 @@
         abuses=abuses,
         repeating_clients=rng.randint(1, 4) if has_repeats else 0,
         departing_pipeliners=rng.randint(0, 2),
+        replacements=_draw_replacements(random.Random(f"hostile soak/replacements/{seed}"), load_s),
         has_rest=has_rest,
     )
 
 
-def plan_of(seed: int, *abuses: Abuse, load_s: float, **changes: bool | int) -> HostilePlan:
+def _draw_replacements(rng: random.Random, load_s: float) -> tuple[Replacement, ...]:
+    if rng.random() >= REPLACEMENTS_SHARE:
+        return ()
+    return tuple(
+        Replacement(
+            host=rng.randrange(HOST_COUNT),
+            at_s=round(rng.uniform(0.2, load_s), 3),
+            down_s=rng.choice(DOWN_TIMES_S),
+            told_after_s=rng.choice(TOLD_AFTER_S),
+            has_new_id=rng.random() < NEW_ID_SHARE,
+        )
+        for _ in range(rng.randint(1, MAX_REPLACEMENTS))
+    )
+
+
+def plan_of(seed: int, *abuses: Abuse, load_s: float, **changes: Any) -> HostilePlan:
     """Return a plan with given abuses on the platform's program, and quiet hosts."""
     rng = random.Random(f"hostile soak/base/{seed}")
     base = _base_plan(seed, rng, load_s, ())
     quiet = replace(base, program=Program.PLATFORM, host_faults=(), longest_deadline_s=2.0)
     plan = HostilePlan(replace(quiet, silent_counter_at_s=None, silent_watches_at_s=None), abuses)
-    return replace(plan, **changes)  # type: ignore[arg-type]
+    return replace(plan, **changes)
 
 
 def _base_plan(seed: int, rng: random.Random, load_s: float, pauses: tuple[Pause, ...]) -> SoakPlan:
--- a/apigateway/tools/hostile_soak/run.py
+++ b/apigateway/tools/hostile_soak/run.py
@@ -14,7 +14,7 @@
 from apigateway.emulators.timing.collection_pause import pause_garbage_collection
 from apigateway.tools.hostile_soak.clients import depart_with_pipeline, repeat_requests
 from apigateway.tools.hostile_soak.memory import ProcessMonitor
-from apigateway.tools.hostile_soak.plan import REST_S, Abuse, HostilePlan
+from apigateway.tools.hostile_soak.plan import REST_S, Abuse, HostilePlan, Replacement
 from apigateway.tools.shutdown_soak.clients import SoakClients
 from apigateway.tools.shutdown_soak.installation import Installation
 from apigateway.tools.shutdown_soak.run import SoakResult, SoakRun
@@ -74,6 +74,8 @@
         clients.run(self._sample(self._monitor))
         for abuse in plan.abuses:
             clients.run(self._play_abuse(abuse))
+        for replacement in plan.replacements:
+            clients.run(self._replace_host(replacement))
         for _ in range(plan.repeating_clients):
             clients.run(repeat_requests(clients, self.installation.ledger))
         for _ in range(plan.departing_pipeliners):
@@ -98,6 +100,21 @@
                 process.kill()
                 await process.wait()
 
+    async def _replace_host(self, replacement: Replacement) -> None:
+        """Start a new process at a host's address, and tell discovery of it."""
+        await asyncio.sleep(replacement.at_s)
+        installation = self.installation
+        host = installation.hosts[replacement.host]
+        changes = []
+        if replacement.has_new_id:
+            changes.append(host.entry("removed"))
+            host.name = f"{host.name}n"
+        await host.restart(replacement.down_s)
+        changes.append(host.entry())
+        await asyncio.sleep(replacement.told_after_s)
+        for discovery in installation.discoveries:
+            discovery.apply_changes(changes)
+
     async def _sample(self, monitor: ProcessMonitor) -> None:
         result = self.hostile_result
         loop = asyncio.get_running_loop()
--- a/tests/tools/test_hostile_soak.py
+++ b/tests/tools/test_hostile_soak.py
@@ -5,8 +5,16 @@
 
 from apigateway.emulators.hostile_clients import FLOOD_COMMANDS, AbuseKind
 from apigateway.tools.hostile_soak.main import format_result
-from apigateway.tools.hostile_soak.plan import Abuse, draw_hostile_plan, plan_of
+from apigateway.tools.hostile_soak.plan import (
+    DOWN_TIMES_S,
+    TOLD_AFTER_S,
+    Abuse,
+    Replacement,
+    draw_hostile_plan,
+    plan_of,
+)
 from apigateway.tools.hostile_soak.run import run_hostile_plan
+from apigateway.tools.shutdown_soak.plan import HOST_COUNT
 
 SEEDS = range(1, 7)
 CROWD = 450
@@ -43,6 +51,24 @@
     assert not result.breaches, format_result(result)
 
 
+# Guards against work that goes to a new process at an old address as if it were the old one.
+@pytest.mark.parametrize("has_new_id", [False, True], ids=["same-id", "new-id"])
+@pytest.mark.parametrize("told_after_s", TOLD_AFTER_S)
+@run_on_uvloop
+async def test_host_when_it_is_replaced_at_its_address_then_nothing_is_lost_or_runs_twice(
+    told_after_s, has_new_id
+):
+    replacements = [
+        Replacement(
+            number % HOST_COUNT, 0.3 + 0.4 * number, DOWN_TIMES_S[number % 3], told_after_s, has_new_id
+        )
+        for number in range(6)
+    ]
+    plan = plan_of(1300, load_s=3.5, replacements=tuple(replacements))
+    result = await run_hostile_plan(plan)
+    assert not result.breaches, format_result(result)
+
+
 # Guards against tables that grow with every name that a client makes up.
 @run_on_uvloop
 async def test_memory_when_a_flood_of_new_customers_is_over_then_it_returns():
