Test the deadline told to a host whose connection comes up late: it fails

With a connection that comes up 0.2 s late, the host is told more than the client has left and the slack of 0.15 s.

--- a/tests/upstream/test_upstream.py
+++ b/tests/upstream/test_upstream.py
@@ -23,11 +23,16 @@
 )
 
 from apigateway import messages
+from apigateway.emulators.resp import fields
 from apigateway.upstream import attempt as attempt_module
 from apigateway.upstream import connection_pool, framing, upstream_connections
 from apigateway.upstream.attempt import Attempt
 from apigateway.upstream.connection import Connection
 
+LATE_CONNECT_S = 0.2  # less than the gateway's connect timeout
+CLIENT_TIMEOUT_S = 1.0
+DEADLINE_SLACK_S = 0.15  # by the platform's page
+
 
 class CheckedReader:
     """hiredis' reader, which records the messages that it was given before they were complete.
@@ -444,3 +449,24 @@
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             accepted.close()  # sends a reset
             assert (await request).startswith(b"-BUSY")  # rejected, as it has not run
+
+
+# Guards against a host that is told a later deadline than its client's, because the connection came up late.
+@run_on_uvloop
+async def test_deadline_told_when_the_connection_comes_up_late_then_is_within_the_slack(
+    tmp_path, monkeypatch
+):
+    open_connection = connection_pool.ConnectionPool._open_connection
+
+    async def open_late(pool):
+        await asyncio.sleep(LATE_CONNECT_S)
+        return await open_connection(pool)
+
+    monkeypatch.setattr(connection_pool.ConnectionPool, "_open_connection", open_late)
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        _, writer = await harness.connect()
+        sent_at = time.monotonic()
+        writer.write(make_command(b"late", make_fields(d=str(int(CLIENT_TIMEOUT_S * 1000)))))
+        command = await host.arrivals.get()
+        told_s = int(fields(command)["d"]) / 1000
+        assert time.monotonic() + told_s <= sent_at + CLIENT_TIMEOUT_S + DEADLINE_SLACK_S
