Forget a connection that has ended, so that the limit on connections holds

Cause: a response that came after the end of its connection put the connection among those that are closing, where nothing removed it. To make room for a new connection the first of these was closed again, each time, so the limit no longer held; and the object stayed.

Change: only a connection that is still registered counts as closing, and none that is already being closed is evicted.

--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -210,8 +210,9 @@
             self.idle_since[connection] = monotonic()
 
     def on_closing(self, connection: ClientConnection) -> None:
-        """Start the timeout for a connection to write its last bytes."""
-        self.closing_since.setdefault(connection, monotonic())
+        """Start the timeout for a connection to write its last bytes, unless it has ended."""
+        if connection in self.connections:
+            self.closing_since.setdefault(connection, monotonic())
 
     def on_write_blocked(self, connection: ClientConnection) -> None:
         """Start the timeout for a client that does not read its responses."""
@@ -257,8 +258,9 @@
         Returns whether one was closed.
         """
         for connection in self.closing_since:
-            connection.transport.abort()
-            return True
+            if not connection.transport.is_closing():
+                connection.transport.abort()
+                return True
         for connection in list(islice(self.idle_since, MAX_EVICTION_CANDIDATES)):
             if not (
                 connection.transport.is_closing() or connection.is_deferred or connection.has_unread_data()
--- a/tests/frontends/resp/test_resp_server.py
+++ b/tests/frontends/resp/test_resp_server.py
@@ -207,3 +207,25 @@
         assert connection.is_read_paused
         assert connection.request_bytes <= server.max_connection_bytes + framing.MAX_MESSAGE_BYTES
         assert await harness.send_command(b"*1\r\n$4\r\nPING\r\n") == b"+PONG\r\n"
+
+
+# Guards against connections without a limit, since one that has ended is evicted for each new one.
+@run_on_uvloop
+async def test_connection_limit_holds_after_clients_left_with_responses_on_the_way(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        server = harness.server.frontends[0].server
+        server.max_connections = 4
+        _, writer = await harness.connect()
+        while not server.connections:
+            await asyncio.sleep(0)
+        (connection,) = server.connections
+        writer.transport.abort()
+        while server.connections:
+            await asyncio.sleep(0)
+        connection.flush()  # as when a response comes after the end of its connection
+        assert not server.closing_since
+        connections = [await harness.connect() for _ in range(12)]
+        for reader, writer in connections[-2:]:
+            writer.write(b"*1\r\n$4\r\nPING\r\n")
+            assert (await read_reply(reader))[:1] in b"+-"
+        assert len(server.connections) <= 4
