Count a request's time from when its connection may have come, also in the accept queue

Cause, by the ledger's trace: such a request reached its host 0.27 s after it was sent, and its attempt ended 0.11 s after its client's time: the connection had waited in the kernel's queue behind the crowd, and the request's time counted from when it was read.

Change: the listener knows since when its queue has not been seen empty; the first data of a connection that is there when it is established counts from then.

--- a/apigateway/frontends/grpc/frontend.py
+++ b/apigateway/frontends/grpc/frontend.py
@@ -111,7 +111,7 @@
         if self._sweep_timer is None:
             self._sweep()
 
-    def _on_accepted(self, sock: socket.socket) -> None:
+    def _on_accepted(self, sock: socket.socket, _queued_since: float) -> None:
         """Establish an accepted connection.
 
         Connections count towards the limit before their TLS handshake, so that silent clients cannot use
--- a/apigateway/frontends/listener.py
+++ b/apigateway/frontends/listener.py
@@ -69,14 +69,15 @@
     """Accepts connections, and passes each socket on.
 
     Args:
-        on_accepted: Called with each accepted socket, which does not block.
+        on_accepted: Called with each accepted socket, which does not block, and with the earliest time, by
+            `time.monotonic`, at which its connection may have come.
         on_established: Called when a connection is established, or could not be.
         input_scheduler: Tells whether clients' input waits for its turn.
     """
 
     def __init__(
         self,
-        on_accepted: Callable[[socket.socket], None],
+        on_accepted: Callable[[socket.socket, float], None],
         on_established: Callable[[], None],
         input_scheduler: InputScheduler,
     ) -> None:
@@ -86,6 +87,8 @@
         self._establishing: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
         self._is_paused = False
+        self._has_queue = False  # connections were left in the kernel's queue
+        self._queued_since = 0.0  # since when they may be there
         self._logged_at = -LOG_INTERVAL_S
 
     @property
@@ -160,7 +163,13 @@
 
     def _accept(self) -> None:
         """Accept pending connections for a time."""
-        until = monotonic() + ACCEPT_TIME_S
+        started_at = monotonic()
+        if not self._has_queue:
+            self._queued_since = started_at
+        self._accept_until(started_at + ACCEPT_TIME_S)
+        self._has_queue = self.has_pending_connections
+
+    def _accept_until(self, until: float) -> None:
         while self._socket is not None:
             try:
                 sock, _ = self._socket.accept()
@@ -174,7 +183,7 @@
             sock.setblocking(False)
             with contextlib.suppress(OSError):  # the client may have reset the connection
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._on_accepted(sock)
+            self._on_accepted(sock, self._queued_since)
             if not self._input_scheduler.queue_length or monotonic() >= until:
                 return
 
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -38,9 +38,14 @@
 
 
 class ClientConnection(asyncio.BufferedProtocol):
-    """The asyncio protocol of one client connection."""
+    """The asyncio protocol of one client connection.
 
-    def __init__(self, server: ConnectionOwner) -> None:
+    Args:
+        server: The server that accepted it.
+        queued_since: When it may have come, at the earliest, with its first data.
+    """
+
+    def __init__(self, server: ConnectionOwner, queued_since: float) -> None:
         self.server = server
         self.number = 0  # set by the server, from 1
         self.peer = ""  # the client's address
@@ -54,7 +59,7 @@
         self.dropped_bytes = 0  # received after a framing error
         self.received_at = 0.0  # when data was last read, by the input scheduler's clock
         self.arrived_at = 0.0  # when the data that was last read may have arrived, at the earliest
-        self.unread_since = 0.0  # since when unread data may wait, if `may_have_unread`
+        self.unread_since = queued_since  # since when unread data may wait, if `may_have_unread`
         self.is_backlogged = False  # the last read filled the buffer
         self.may_have_unread = False  # the connection was not read, or not to the end
         self.is_closing = False  # it closes once no command is pending
@@ -73,6 +78,7 @@
         """Register the connection."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.may_have_unread = self.has_unread_data()
         self.server.on_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -108,19 +108,17 @@
             self._sweep()
         return port
 
-    def _on_accepted(self, sock: socket.socket) -> None:
-        self._listener.establish(self._establish(sock))
+    def _on_accepted(self, sock: socket.socket, queued_since: float) -> None:
+        self._listener.establish(self._establish(sock, queued_since))
 
-    async def _establish(self, sock: socket.socket) -> None:
+    async def _establish(self, sock: socket.socket, queued_since: float) -> None:
+        loop = asyncio.get_running_loop()
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self._create_connection, sock)
+            await loop.connect_accepted_socket(lambda: ClientConnection(self, queued_since), sock)
         except OSError as error:
             log.info("failed to establish a connection: %s", error)
             sock.close()
 
-    def _create_connection(self) -> ClientConnection:
-        return ClientConnection(self)
-
     def stop_accepting(self) -> None:
         """Close the listener; existing connections continue."""
         self._listener.close()
