Keep the descriptors within the limit while a crowd connects beside floods

Cause: connections that are accepted and not reported yet, and connections to hosts that are closed while their descriptors are still open, were in no count.

Change: at most 24 connections are accepted ahead of the event loop's report; closed connections to hosts count until they are lost; 96 descriptors are reserved and not 64 (464 for clients and for hosts each, of 480).

--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -40,7 +40,7 @@
     from apigateway.policy.overload_gate import OverloadGate
 
 # File descriptors reserved for other uses than connections of clients and to endpoints.
-RESERVED_DESCRIPTORS = 64
+RESERVED_DESCRIPTORS = 96
 
 log = logging.getLogger(__name__)
 
--- a/apigateway/frontends/listener.py
+++ b/apigateway/frontends/listener.py
@@ -73,6 +73,7 @@
             `time.monotonic`, at which its connection may have come.
         on_established: Called when a connection is established, or could not be.
         input_scheduler: Tells whether clients' input waits for its turn.
+        can_accept: Returns whether a connection may be accepted now; else it waits in the kernel's queue.
     """
 
     def __init__(
@@ -80,7 +81,9 @@
         on_accepted: Callable[[socket.socket, float], None],
         on_established: Callable[[], None],
         input_scheduler: InputScheduler,
+        can_accept: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._can_accept = can_accept
         self._input_scheduler = input_scheduler
         self._on_accepted = on_accepted
         self._on_established = on_established
@@ -170,7 +173,7 @@
         self._has_queue = self.has_pending_connections
 
     def _accept_until(self, until: float) -> None:
-        while self._socket is not None:
+        while self._socket is not None and self._can_accept():
             try:
                 sock, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -39,6 +39,9 @@
 # MIN_CONNECTION_BYTES.
 CONNECTION_SHARE = 0.125
 MIN_CONNECTION_BYTES = 256 * 1024
+# Connections that are accepted and not reported by the event loop yet. Those that are evicted for them may
+# still be closing.
+MAX_ACCEPTED = 24
 # Idle connections that are considered when one must be evicted.
 MAX_EVICTION_CANDIDATES = 8
 
@@ -71,6 +74,7 @@
         self._memory_budget = memory_budget
         self.activity = ActivityLog(input_scheduler)
         self._connection_count = 0  # since the start
+        self._accepted_count = 0  # of sockets whose connections are not registered yet
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
         self.admission: AdmissionController | None = None  # None if load shedding is off
@@ -81,7 +85,9 @@
         self.closing_since: dict[ClientConnection, float] = {}
         self.write_blocked_since: dict[ClientConnection, float] = {}
         self.read_paused: set[ClientConnection] = set()  # the event loop does not report their disconnects
-        self._listener = Listener(self._on_accepted, self._notify_if_all_disconnected, input_scheduler)
+        self._listener = Listener(
+            self._on_accepted, self._notify_if_all_disconnected, input_scheduler, self._can_accept
+        )
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._disconnect_check_timer: asyncio.TimerHandle | None = None
         self._all_disconnected: asyncio.Future[None] | None = None
@@ -108,7 +114,11 @@
             self._sweep()
         return port
 
+    def _can_accept(self) -> bool:
+        return self._accepted_count < MAX_ACCEPTED
+
     def _on_accepted(self, sock: socket.socket, queued_since: float) -> None:
+        self._accepted_count += 1
         self._listener.establish(self._establish(sock, queued_since))
 
     async def _establish(self, sock: socket.socket, queued_since: float) -> None:
@@ -117,6 +127,7 @@
             await loop.connect_accepted_socket(lambda: ClientConnection(self, queued_since), sock)
         except OSError as error:
             log.info("failed to establish a connection: %s", error)
+            self._accepted_count -= 1
             sock.close()
 
     def stop_accepting(self) -> None:
@@ -172,6 +183,7 @@
     def on_connected(self, connection: ClientConnection) -> None:
         """Register a new connection; reject it if the limit is reached and no other can be evicted."""
         self.connections.add(connection)
+        self._accepted_count -= 1
         self._connection_count += 1
         connection.number = self._connection_count
         connection.peer = _format_address(connection.transport.get_extra_info("peername"))
--- a/apigateway/upstream/connection.py
+++ b/apigateway/upstream/connection.py
@@ -32,7 +32,13 @@
         """Return a connection to the pool after its attempt has ended."""
 
     def discard(self, connection: Connection) -> None:
-        """Remove a connection that has been closed."""
+        """Remove a connection that is being closed."""
+
+    def on_closing(self, connection: Connection) -> None:
+        """Record that a connection's descriptor stays open until `on_closed`."""
+
+    def on_closed(self, connection: Connection) -> None:
+        """Record that a connection's descriptor is closed."""
 
 
 class Connection(asyncio.Protocol):
@@ -128,6 +134,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt that waits for its reply."""
         self.close()
+        self.pool.on_closed(self)
 
     def close(self) -> None:
         """Close the connection; the socket is shut down at once, before another attempt can be sent."""
@@ -138,6 +145,7 @@
             with self._temporary_socket() as sock, contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
+            self.pool.on_closing(self)
         if attempt is not None:
             if not self.has_response_data:  # a partial reply shows that the host received the request
                 self._idle_policy.record(self.idle_time, True)
--- a/apigateway/upstream/connection_pool.py
+++ b/apigateway/upstream/connection_pool.py
@@ -28,6 +28,7 @@
     max_idle_time: float
     idle_policy: IdleConnectionPolicy
     connections: set[Connection]  # of all endpoints
+    closing: set[Connection]  # of all endpoints, closed with their descriptors still open
 
     def ensure_capacity(self) -> bool:
         """Return whether one more connection may be opened, closing an idle one if necessary."""
@@ -71,11 +72,19 @@
             connection.close()
 
     def discard(self, connection: Connection) -> None:
-        """Remove a connection that has been closed."""
+        """Remove a connection that is being closed."""
         if connection in self.idle:
             self.idle.remove(connection)
         self.owner.connections.discard(connection)
 
+    def on_closing(self, connection: Connection) -> None:
+        """Record that a connection's descriptor stays open until `on_closed`."""
+        self.owner.closing.add(connection)
+
+    def on_closed(self, connection: Connection) -> None:
+        """Record that a connection's descriptor is closed."""
+        self.owner.closing.discard(connection)
+
     def close_idle(self, before: float = math.inf) -> None:
         """Close the connections that have been idle since before `before` (monotonic seconds)."""
         for connection in [connection for connection in self.idle if connection.idle_since < before]:
--- a/apigateway/upstream/upstream_connections.py
+++ b/apigateway/upstream/upstream_connections.py
@@ -38,6 +38,7 @@
         self.idle_policy = IdleConnectionPolicy()
         self.pools: dict[str, ConnectionPool] = {}
         self.connections: set[Connection] = set()
+        self.closing: set[Connection] = set()  # closed, but their descriptors are still open
         self._idle_check: asyncio.TimerHandle | None = None
 
     def update_endpoint(self, endpoint_id: str, address: Address | None) -> None:
@@ -89,12 +90,16 @@
 
     @property
     def open_count(self) -> int:
-        """The number of connections, including those being established.
+        """The number of connections, including those being established or closed.
 
         It is computed at each use. A task that is cancelled before its first step could not decrement a
         stored count.
         """
-        return len(self.connections) + sum(len(pool.connecting) for pool in self.pools.values())
+        return (
+            len(self.connections)
+            + len(self.closing)
+            + sum(len(pool.connecting) for pool in self.pools.values())
+        )
 
     def ensure_capacity(self) -> bool:
         """Return whether one more connection may be opened, closing the longest idle one if necessary."""
