Count a request's time from before a pause of the process in which it may have come

Cause: a request that waits unread in a pause had its time counted from when it was read.

Change: a heartbeat of 20 ms tells since when sockets may not have been read; what is read after a pause counts from then, but not from earlier than the kernel says that data came last (TCP_INFO, asked for only after a pause). So what came in a pause is not told too much, and what came after it is not judged late.

--- a/apigateway/core/context.py
+++ b/apigateway/core/context.py
@@ -18,6 +18,7 @@
     Scheduler,
     UpstreamPool,
 )
+from apigateway.core.loop_lag import LoopLag
 
 if TYPE_CHECKING:  # imported at run time only if load shedding is enabled
     from apigateway.core.admission import AdmissionController
@@ -46,6 +47,7 @@
         self.loop = loop
         self.clock = clock or MonotonicUnixClock()
         self.input_scheduler = InputScheduler(loop)
+        self.loop_lag = LoopLag(loop)
 
         # Set by the daemon if the settings enable them.
         self.endpoint_source: EndpointSource | None = None
--- a/apigateway/daemon/gateway_server.py
+++ b/apigateway/daemon/gateway_server.py
@@ -172,6 +172,7 @@
             self.endpoint_list.evacuate_zones(self.config.evacuated_zones)
         self.upstream.start_idle_checks()
         self._memory_trimmer.start()
+        self.core.loop_lag.start()
         if self.counter:
             self.counter.start()
         if self.core.settings.discovery_mode == messages.DiscoveryMode.PUSH:
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -117,11 +117,20 @@
     def _record_arrival(self, now: float, is_buffer_full: bool) -> None:
         """Record when the data that was read may have arrived: since the socket was last seen empty."""
         self.received_at = now
-        self.arrived_at = self.unread_since if self.may_have_unread else now
+        if self.may_have_unread:
+            self.arrived_at = self.unread_since
+        elif (unread_since := self.server.loop_lag.unread_since(now)) is not None:
+            self.arrived_at = max(unread_since, now - self._data_age_s())
+        else:
+            self.arrived_at = now
         self.is_backlogged = is_buffer_full
         self.may_have_unread = is_buffer_full
         self.unread_since = self.arrived_at
 
+    def _data_age_s(self) -> float:
+        """Return how long ago the last data arrived at the socket."""
+        return socket_state.data_age_s(self.transport.get_extra_info("socket"))
+
     def waited_s(self) -> float:
         """Return how long the commands that are being handled may have waited."""
         return self.server.input_scheduler.clock() - self.arrived_at
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -61,7 +61,7 @@
         self.address = address
         self.port = address[1]
         self.server = RespServer(
-            self, core.input_scheduler, core.memory_budget, max_connections, max_partial_bytes
+            self, core.input_scheduler, core.loop_lag, core.memory_budget, max_connections, max_partial_bytes
         )
         self._group_size = group_size
         self._fields_cache: FieldsCache = {}
--- a/apigateway/frontends/resp/interfaces.py
+++ b/apigateway/frontends/resp/interfaces.py
@@ -9,6 +9,7 @@
 
 from apigateway.core.admission import AdmissionController
 from apigateway.core.input_scheduler import InputScheduler
+from apigateway.core.loop_lag import LoopLag
 from apigateway.frontends.resp.activity_log import ActivityLog
 from apigateway.frontends.resp.client_connection import ClientConnection
 from apigateway.frontends.resp.response_slot import ResponseSlot
@@ -33,6 +34,7 @@
     handler: CommandHandler
     admission: AdmissionController | None
     input_scheduler: InputScheduler
+    loop_lag: LoopLag
     activity: ActivityLog
 
     @property
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -22,6 +22,7 @@
     from apigateway.core.admission import AdmissionController
     from apigateway.core.budget import Budget
     from apigateway.core.input_scheduler import InputScheduler
+    from apigateway.core.loop_lag import LoopLag
     from apigateway.frontends.resp.interfaces import CommandHandler
 
 # A connection without a pending command, or with a partial one, is closed after this time.
@@ -56,6 +57,7 @@
     Args:
         handler: Handles the commands.
         input_scheduler: Divides the time for commands among the connections of all frontends.
+        loop_lag: Tells since when the event loop may not have read its sockets.
         memory_budget: The memory for the clients of all frontends.
         max_connections: The maximum number of connections.
         max_partial_bytes: The maximum bytes of partial commands on all connections together.
@@ -65,12 +67,14 @@
         self,
         handler: CommandHandler,
         input_scheduler: InputScheduler,
+        loop_lag: LoopLag,
         memory_budget: Budget,
         max_connections: int,
         max_partial_bytes: int,
     ) -> None:
         self.handler = handler
         self.input_scheduler = input_scheduler
+        self.loop_lag = loop_lag
         self._memory_budget = memory_budget
         self.activity = ActivityLog(input_scheduler)
         self._connection_count = 0  # since the start
@@ -119,6 +123,9 @@
 
     def _on_accepted(self, sock: socket.socket, queued_since: float) -> None:
         self._accepted_count += 1
+        unread_since = self.loop_lag.unread_since(monotonic())
+        if unread_since is not None:
+            queued_since = min(queued_since, unread_since)
         self._listener.establish(self._establish(sock, queued_since))
 
     async def _establish(self, sock: socket.socket, queued_since: float) -> None:
--- a/apigateway/upstream/socket_state.py
+++ b/apigateway/upstream/socket_state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import fcntl
+import math
 import select
 import socket
 import struct
@@ -16,6 +17,12 @@
 # Of a listening socket the field tcpi_unacked of struct tcp_info holds the length of its queue.
 _TCP_INFO_UNACKED_OFFSET = 24
 _TCP_INFO_BYTES = 28
+# The field tcpi_last_data_recv: milliseconds since data arrived last.
+_TCP_INFO_LAST_DATA_OFFSET = 52
+_TCP_INFO_LAST_DATA_BYTES = 56
+# The kernel counts in ticks of up to this length.
+_MAX_TICK_S = 0.01
+_MILLISECONDS_PER_SECOND = 1000
 _NO_BYTES = b"\0\0\0\0"  # result of FIONREAD, a C int, for an empty receive buffer
 
 
@@ -50,6 +57,18 @@
     return int(count)
 
 
+def data_age_s(sock: SocketWithOptions) -> float:
+    """Return how many seconds ago data arrived last, at most; infinite if the platform does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_LAST_DATA_BYTES)
+    except OSError:
+        return math.inf
+    if len(info) < _TCP_INFO_LAST_DATA_BYTES:
+        return math.inf
+    (age_ms,) = struct.unpack_from("I", info, _TCP_INFO_LAST_DATA_OFFSET)
+    return float(age_ms) / _MILLISECONDS_PER_SECOND + _MAX_TICK_S
+
+
 def is_closed_by_peer(sock: SocketLike) -> bool:
     """Return whether the peer has shut down its sending side or the connection, even with data unread."""
     return _poll(sock, select.POLLRDHUP)
--- a/tests/frontends/resp/test_client_connection.py
+++ b/tests/frontends/resp/test_client_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from gateway_harness import (
@@ -14,10 +15,15 @@
     read_reply,
     run_on_uvloop,
 )
+from late_loop import hold_up_loop
 
+from apigateway.emulators.resp import fields
 from apigateway.frontends.resp import server as resp_server
 from apigateway.frontends.resp.client_connection import MAX_PENDING_COMMANDS
 
+CLIENT_TIMEOUT_S = 2.0
+DEADLINE_SLACK_S = 0.15  # by the platform's page
+
 
 @pytest.mark.parametrize(
     "invalid_input",
@@ -272,3 +278,38 @@
             assert await loop.sock_recv(sock, 100) == VALUE_REPLY
             assert all(connection.is_closing for connection in server.connections)
             assert await loop.sock_recv(sock, 100) == b""
+
+
+# Guards against a request that waits unread in a pause, and whose time counts from when it is read.
+@pytest.mark.parametrize("pause_s", [0.05, 0.14, 0.3, 0.6])
+@pytest.mark.parametrize("is_new", [False, True], ids=["open-connection", "new-connection"])
+@run_on_uvloop
+async def test_deadline_told_after_a_pause_is_what_the_client_has_left(pause_s, is_new, tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        core, server = harness.server.core, harness.server.frontends[0].server
+        address = ("127.0.0.1", harness.port)
+        sock = None if is_new else socket.create_connection(address)
+        beat_at = core.loop_lag.last_beat_at
+        while core.loop_lag.last_beat_at == beat_at or not (is_new or server.connections):
+            await asyncio.sleep(0)
+        sock = sock or socket.create_connection(address)
+        sent_at = time.monotonic()
+        sock.send(make_command(fields=make_fields(d=str(int(CLIENT_TIMEOUT_S * 1000)))))
+        hold_up_loop(pause_s)
+        command = await host.arrivals.get()
+        told_s = int(fields(command)["d"]) / 1000
+        assert time.monotonic() + told_s <= sent_at + CLIENT_TIMEOUT_S + DEADLINE_SLACK_S
+        sock.close()
+
+
+# Guards against a request that is taken for old because the process was paused before it came.
+@run_on_uvloop
+async def test_request_that_comes_after_a_pause_has_its_whole_time(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        with socket.create_connection(("127.0.0.1", harness.port)) as sock:
+            while not harness.server.frontends[0].server.connections:
+                await asyncio.sleep(0)
+            hold_up_loop(1.5)
+            sock.send(make_command(fields=make_fields(d="1000")))  # read in the first poll after the pause
+            command = await host.arrivals.get()
+            assert int(fields(command)["d"]) > 0 and command[2] == b"r1"
