Accept lists of 3,200 hosts however they are indented

A list over 1 MiB was refused; 3,200 hosts, indented by eight, take 1.2 MB, and both are allowed.

Change: the bound is 3,200 hosts of 1,024 bytes.

Evidence: the new test on sockets failed with indents of 8 and 16 before and passes; a longer response is refused as before.

--- a/apigateway/membership/discovery.py
+++ b/apigateway/membership/discovery.py
@@ -23,7 +23,9 @@
 
 REJECTION_STATUSES = (429, 503)  # sent by a service that has no capacity for the call
 NO_TIMEOUT = aiohttp.ClientTimeout()  # calls are limited by `timeout_after_poll`
-MAX_RESPONSE_BYTES = 1024 * 1024  # bounds the memory that an endless response can use
+MAX_HOSTS = 3200  # in a list, by the platform
+MAX_ENTRY_BYTES = 1024  # of one host, with the blanks of an indented list
+MAX_RESPONSE_BYTES = MAX_HOSTS * MAX_ENTRY_BYTES  # bounds the memory that an endless response can use
 
 log = logging.getLogger(__name__)
 
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -17,10 +17,12 @@
 from apigateway import messages
 from apigateway.daemon.status_answers import endpoint_list_status
 from apigateway.membership import watch_schedule
-from apigateway.membership.discovery import CallResult
+from apigateway.membership.discovery import MAX_RESPONSE_BYTES, CallResult
 from apigateway.membership.listing import listing_from_json
 from apigateway.membership.watch_schedule import WatchSchedule
 
+MAX_FLEET_HOSTS = 3200  # by the platform's page
+
 
 @run_on_uvloop
 async def test_draining_host_gets_neither_new_requests_nor_requests_waiting_for_a_connection(tmp_path):
@@ -302,3 +304,36 @@
     async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
         url = f"http://127.0.0.1:{harness.discovery.port}/v1/endpoints"
         assert endpoint_list_status(harness.server).as_json()["source"] == f"discovery {url}"
+
+
+# Guards against a fleet whose list is refused because it is large and indented.
+@pytest.mark.parametrize("indent", [None, 4, 8, 16])
+@run_on_uvloop
+async def test_list_of_the_largest_fleet_is_accepted_however_it_is_indented(indent, tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        while "index" not in await harness.discovery.calls.get():
+            pass
+        servers = [
+            make_host_entry(host, f"s-{number:08x}")
+            | {"zone": "north-wing", "kind": "std-4core", "cell": number}
+            for number in range(MAX_FLEET_HOSTS)
+        ]
+        complete = {"version": 2, "full": True, "servers": servers}
+        harness.discovery.raw_answer = json.dumps(complete, indent=indent)
+        harness.discovery.apply_changes([])
+        while len(harness.server.upstream.pools) < MAX_FLEET_HOSTS:
+            await asyncio.sleep(0.01)
+        assert await harness.send_command(make_command()) == VALUE_REPLY
+
+
+# Guards against a response without an end that takes all memory.
+@run_on_uvloop
+async def test_response_longer_than_any_list_is_refused(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        while "index" not in await harness.discovery.calls.get():
+            pass
+        harness.discovery.raw_answer = " " * (MAX_RESPONSE_BYTES + 1)
+        harness.discovery.apply_changes([])
+        while "index" in await harness.discovery.calls.get():
+            pass  # the gateway requests the complete list again
+        assert await harness.send_command(make_command()) == VALUE_REPLY
