Do not send an attempt whose client left while the connection to its host came up

Cause, by the trace: the client had sent 200 commands and left after 0.021 s; while its commands waited for their turn its connection was not read, so its end was looked for every 0.1 s only. An attempt looks for the client's end when it is asked for, but this one then waited for its connection to come up.

Change: an attempt that waited asks once more, and ends as abandoned, which tells nothing about the host. Connections that are not read are looked at every 0.05 s.

--- a/apigateway/core/attempts.py
+++ b/apigateway/core/attempts.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from functools import partial
 
 from apigateway import messages
 from apigateway.core.context import CoreContext
@@ -104,7 +105,7 @@
         try:
             payload = in_flight.upstream_request.encode(timeout)
             attempt = upstream.create_attempt(endpoint_id, payload, self._on_ended, tag)
-            attempt.encode = in_flight.upstream_request.encode
+            attempt.encode = partial(self._encode_again, in_flight)
         except Exception:
             log.exception("request %s: failed to encode an attempt", in_flight.request_id)
             self._report_abandoned(in_flight, number, endpoint_id)
@@ -114,6 +115,12 @@
             log.debug("request %s: attempt %d at %s", in_flight.request_id, number, endpoint_id)
         upstream.send(attempt, timeout)
 
+    def _encode_again(self, in_flight: InFlightRequest, timeout: float) -> bytes | None:
+        """Return the message of an attempt that waited for its connection; None if its client has left."""
+        if not in_flight.sink.is_client_connected():
+            return None
+        return in_flight.upstream_request.encode(timeout)
+
     def _report_abandoned(self, in_flight: InFlightRequest, number: int, endpoint_id: str) -> None:
         self._events.dispatch(
             messages.AttemptOutcome(
--- a/apigateway/core/interfaces.py
+++ b/apigateway/core/interfaces.py
@@ -92,7 +92,8 @@
     metered_use: int  # see `messages.AttemptOutcome`
     load_report: dict[str, float]
     tag: Any  # set by the caller, not interpreted here
-    encode: Callable[[float], bytes] | None  # set by the caller: encodes the message after a wait
+    # Set by the caller: encodes the message after a wait; returns None if nobody waits for the reply.
+    encode: Callable[[float], bytes | None] | None
 
     @property
     def is_written(self) -> bool:
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -35,7 +35,7 @@
 SWEEP_INTERVAL_S = 0.25
 # Polling interval for disconnects on connections that are not read. No request may be forwarded for a client
 # that has disconnected.
-DISCONNECT_CHECK_INTERVAL_S = 0.1
+DISCONNECT_CHECK_INTERVAL_S = 0.05
 # Share of the memory for clients that the commands and responses of one connection may use, at least
 # MIN_CONNECTION_BYTES.
 CONNECTION_SHARE = 0.125
--- a/apigateway/upstream/attempt.py
+++ b/apigateway/upstream/attempt.py
@@ -70,8 +70,9 @@
     ) -> None:
         self.endpoint_id = endpoint_id
         self.payload = payload  # empty once it is passed to a connection
-        # Encodes the payload again with the seconds left, as long as it is not passed to a connection.
-        self.encode: Callable[[float], bytes] | None = None
+        # Encodes the payload again with the seconds left, as long as it is not passed to a connection. Returns
+        # None if nobody waits for the reply any more.
+        self.encode: Callable[[float], bytes | None] | None = None
         self.deadline = math.inf  # when its timeout expires, by the monotonic clock
         self.on_ended = on_ended
         self.tag = tag
@@ -83,10 +84,18 @@
         self.connection: AttemptConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
 
-    def update_payload(self) -> None:
-        """Tell the host the time that is left, after a wait for the connection."""
-        if self.encode is not None:
-            self.payload = self.encode(max(MIN_TIMEOUT_S, self.deadline - monotonic()))
+    def update_payload(self) -> bool:
+        """Tell the host the time that is left, after a wait for the connection.
+
+        Returns whether somebody still waits for the reply.
+        """
+        if self.encode is None:
+            return True
+        payload = self.encode(max(MIN_TIMEOUT_S, self.deadline - monotonic()))
+        if payload is None:
+            return False
+        self.payload = payload
+        return True
 
     def elapsed(self) -> float:
         """Return the seconds since the attempt was created."""
--- a/apigateway/upstream/connection_pool.py
+++ b/apigateway/upstream/connection_pool.py
@@ -140,10 +140,12 @@
 
 
 def _update_payload(attempt: Attempt) -> bool:
-    """Update the attempt's payload, and return whether that succeeded."""
+    """Update the attempt's payload; else end the attempt, and return False."""
     try:
-        attempt.update_payload()
+        is_wanted = attempt.update_payload()
     except Exception:  # otherwise the attempt would end only at its timeout
         log.exception("failed to encode an attempt")
         return False
-    return True
+    if not is_wanted:
+        attempt.end(AttemptResult.ABANDONED)  # this tells nothing about the host
+    return is_wanted
--- a/tests/upstream/test_upstream.py
+++ b/tests/upstream/test_upstream.py
@@ -34,6 +34,19 @@
 DEADLINE_SLACK_S = 0.15  # by the platform's page
 
 
+def record_outcomes_of_attempts(core):
+    """Return a list to which the result of each attempt is added."""
+    results, handle = [], core.module.handle
+
+    def record(now, event):
+        if isinstance(event, messages.AttemptOutcome):
+            results.append(event.result)
+        return handle(now, event)
+
+    core.module.handle = record
+    return results
+
+
 class CheckedReader:
     """hiredis' reader, which records the messages that it was given before they were complete.
 
@@ -470,3 +483,36 @@
         command = await host.arrivals.get()
         told_s = int(fields(command)["d"]) / 1000
         assert time.monotonic() + told_s <= sent_at + CLIENT_TIMEOUT_S + DEADLINE_SLACK_S
+
+
+# Guards against an attempt that begins after its client left because the connection to its host came up late.
+@run_on_uvloop
+async def test_attempt_when_its_client_left_while_the_connection_came_up_then_is_not_sent(
+    tmp_path, monkeypatch
+):
+    open_connection = connection_pool.ConnectionPool._open_connection
+    is_opening, may_open = asyncio.Event(), asyncio.Event()
+
+    async def open_when_told(pool):
+        is_opening.set()
+        await may_open.wait()
+        return await open_connection(pool)
+
+    monkeypatch.setattr(connection_pool.ConnectionPool, "_open_connection", open_when_told)
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        core = harness.server.core
+        _, writer = await harness.connect()
+        writer.write(make_command(b"left"))
+        await is_opening.wait()
+        (client,) = harness.server.frontends[0].server.connections
+        client.transport.pause_reading()  # the end of the connection stays unread
+        writer.close()
+        while not client.is_closed_by_peer():
+            await asyncio.sleep(0)
+        outcomes = record_outcomes_of_attempts(core)
+        may_open.set()
+        while not outcomes:
+            await asyncio.sleep(0)
+        assert outcomes[0] == messages.AttemptResult.ABANDONED
+        assert await harness.send_command(make_command(b"next")) == VALUE_REPLY
+        assert [command[2] for command in host.commands] == [b"next"]
