--- a/apigateway/upstream/attempt.py
+++ b/apigateway/upstream/attempt.py
@@ -70,8 +70,8 @@
     ) -> None:
         self.endpoint_id = endpoint_id
         self.payload = payload  # empty once it is passed to a connection
-        # Encodes the payload again with the seconds left, as long as it is not passed to a connection. Returns
-        # None if nobody waits for the reply any more.
+        # Encodes the payload again with the seconds left, until it is passed to a connection. Returns None if
+        # nobody waits for the reply any more.
         self.encode: Callable[[float], bytes | None] | None = None
         self.deadline = math.inf  # when its timeout expires, by the monotonic clock
         self.on_ended = on_ended
