Let the heartbeat that notices pauses run every 50 ms

Need: 50 timers a second at each of 200 gateways are paid for over the whole fleet.

After a pause the kernel still tells when data came.

Measured: the tests with pauses of 0.05 to 0.6 s pass (195 tests of the core and the frontend).

--- a/apigateway/core/loop_lag.py
+++ b/apigateway/core/loop_lag.py
@@ -14,9 +14,9 @@
 from apigateway.event_loop import call_after_poll
 
 # Interval of the timer that notices pauses, which is also by how much their begin is uncertain.
-HEARTBEAT_INTERVAL_S = 0.02
+HEARTBEAT_INTERVAL_S = 0.05
 # A heartbeat that is late by more shows a pause.
-MIN_LAG_S = 0.01
+MIN_LAG_S = 0.02
 
 
 class LoopLag:
