Play crowds whose clients follow drawn scripts beside a gateway: its memory fails

Need: the soak of hostile clients played a list of abuses, but never a whole request and then half of one on the same connection, nor a crowd that comes again when it is closed.

emulators/hostile_crowd.py plays scripts of steps (send, wait, drip, read or not, close) that are drawn from a seed, or one that is given.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 
 # Of `make soak`: the first seed, the number of seeds in a row, how many run at the same time, and further options
-# (--pauses, --busy-connections).
+# (--pauses, --busy-connections; of `make hostile-soak` --crowds).
 SEED ?= 1
 SEEDS ?= 50
 JOBS ?= 3
@@ -25,7 +25,7 @@
 
 # Gateways beside clients that abuse them: floods, crowds, ids that come again. CI plays the first few seeds.
 hostile-soak: $(VENV)/ready
-	$(BIN)/python -m apigateway.tools.hostile_soak.main --seed $(SEED) --runs $(SEEDS) --jobs $(JOBS)
+	$(BIN)/python -m apigateway.tools.hostile_soak.main --seed $(SEED) --runs $(SEEDS) --jobs $(JOBS) $(OPTIONS)
 
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check .
--- a/apigateway/tools/hostile_soak/main.py
+++ b/apigateway/tools/hostile_soak/main.py
@@ -1,4 +1,4 @@
-"""Run the soak: `python -m apigateway.tools.hostile_soak.main --seed N [--runs N] [--jobs N]`."""
+"""Run the soak: `python -m apigateway.tools.hostile_soak.main --seed N [--runs N] [--jobs N] [--crowds]`."""
 
 from __future__ import annotations
 
@@ -10,11 +10,12 @@
 
 import uvloop
 
-from apigateway.tools.hostile_soak.plan import HostilePlan, draw_hostile_plan
+from apigateway.tools.hostile_soak.plan import HostilePlan, draw_crowd_plan, draw_hostile_plan
 from apigateway.tools.hostile_soak.run import HostileResult, run_hostile_plan
 
 HEADING = (
-    f"{'seed':>6}  {'requests':>8}  {'served':>6}  {'slowest':>7}  {'before, peak, after MiB':>23}  broken"
+    f"{'seed':>6}  {'requests':>8}  {'served':>6}  {'slowest':>7}  {'before, peak, after MiB':>23}  "
+    f"{'failed':>6}  broken"
 )
 SHOWN_BREACHES = 5
 SHOWN_LOG_LINES = 10
@@ -40,9 +41,10 @@
     """Return the line of a run, and what to replay it by if a rule was broken."""
     sizes = f"{result.baseline_mib:6.0f}{result.peak_mib:8.0f}{result.rested_mib:9.0f}"
     kinds = ", ".join(f"{abuse.connections} {abuse.kind}" for abuse in result.plan.abuses)
+    kinds += "".join(f" crowd of {crowd.connections} {crowd.script}" for crowd in result.plan.crowds)
     line = (
         f"{result.plan.base.seed:6d}  {result.soak.request_count:8d}  {result.soak.served_count:6d}  "
-        f"{result.slowest_s:7.2f}  {sizes}  {len(result.breaches)}  {kinds}"
+        f"{result.slowest_s:7.2f}  {sizes}  {result.failed_count:6d}  {len(result.breaches)}  {kinds}"
     )
     if not result.breaches:
         return line
@@ -58,8 +60,10 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--runs", type=int, default=1, help="runs, with seeds in a row")
     parser.add_argument("--jobs", type=int, default=1, help="runs at the same time")
+    parser.add_argument("--crowds", action="store_true", help="crowds that are drawn by grammar")
     options = parser.parse_args()
-    plans = [draw_hostile_plan(seed) for seed in range(options.seed, options.seed + options.runs)]
+    draw = draw_crowd_plan if options.crowds else draw_hostile_plan
+    plans = [draw(seed) for seed in range(options.seed, options.seed + options.runs)]
     print(HEADING)
     results = run_plans(plans, options.jobs)
     broken = [result for result in results if result.breaches]
--- a/apigateway/tools/hostile_soak/plan.py
+++ b/apigateway/tools/hostile_soak/plan.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import math
 import random
 from dataclasses import dataclass, fields, replace
 from typing import Any
 
+from apigateway.emulators import hostile_crowd
 from apigateway.emulators.hostile_clients import AbuseKind
 from apigateway.tools.shutdown_soak.plan import HOST_COUNT, Pause, Program, SoakPlan, draw_plan
 
@@ -16,6 +19,8 @@
 DEADLINES_S = (1.0, 2.0, 3.0, 6.0)
 MAX_ABUSES = 3
 REST_S = 10.0  # after the last abuse, when the memory is compared with that of before
+CROWD_REST_S = 8.0  # the same after a crowd that plays scripts
+WORK_S = 0.01
 PAUSE_S = 0.14
 PAUSE_SHARE = 0.25  # of the runs, as the next two
 REST_SHARE = 0.3
@@ -25,6 +30,11 @@
 DOWN_TIMES_S = (0.0, 0.05, 0.2)
 TOLD_AFTER_S = (0.0, 0.1, 1.5)
 NEW_ID_SHARE = 0.5
+SCRIPTED_CROWDS = (60, 200, 450, 700, 950)
+ONE_SCRIPT_SHARE = 0.5  # of the crowds, whose clients all do the same
+CROWD_REST_SHARE = 0.6
+REST_MARGIN_S = 0.3  # so that the memory is judged before the gateway is told to end
+CROWD_WORK_S = (0.01, 0.05, 0.2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +47,21 @@
     lasts_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """Abusive clients that play scripts, `at_s` seconds after the judged clients have started.
+
+    Attributes:
+        script: The steps that all of them play, as JSON (`emulators/hostile_crowd.py`); empty: each client
+            draws its own from the seed.
+    """
+
+    connections: int
+    at_s: float
+    lasts_s: float
+    script: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Replacement:
     """A host's process that is replaced at its address, `at_s` seconds after the judged clients have started.
@@ -64,6 +89,8 @@
         repeating_clients: Clients that leave and send the same request again on a new connection.
         departing_pipeliners: Clients that send many requests at once and leave.
         replacements: Hosts that are replaced meanwhile.
+        crowds: Abusive clients that play scripts. With any, the memory is held to the crowds' limits.
+        work_s: What a request takes at a host; hosts of any such time serve as many requests a second.
         has_rest: Whether the gateway gets REST_S before its end, after which its memory is judged.
     """
 
@@ -72,8 +99,22 @@
     repeating_clients: int = 0
     departing_pipeliners: int = 0
     replacements: tuple[Replacement, ...] = ()
+    crowds: tuple[Crowd, ...] = ()
+    work_s: float = WORK_S
     has_rest: bool = False
 
+    @property
+    def abused_until_s(self) -> float:
+        """When the last abuse is over; infinite without any."""
+        ends = [abuse.at_s + abuse.lasts_s for abuse in self.abuses]
+        ends += [crowd.at_s + crowd.lasts_s for crowd in self.crowds]
+        return max(ends, default=math.inf)
+
+    @property
+    def rest_s(self) -> float:
+        """How long after the last abuse the memory is judged."""
+        return CROWD_REST_S if self.crowds else REST_S
+
     def __str__(self) -> str:
         own = [f"  {field.name} = {getattr(self, field.name)}" for field in fields(self)[1:]]
         return "\n".join([str(self.base), *own])
@@ -99,6 +140,30 @@
     )
 
 
+def draw_crowd_plan(seed: int) -> HostilePlan:
+    """Draw the plan of a seed with crowds that play scripts: one script for all, or one for each client."""
+    rng = random.Random(f"hostile soak/crowds/{seed}")
+    crowds = tuple(_draw_crowd(rng) for _ in range(rng.choice((1, 1, 2))))
+    ends_at_s = max(crowd.at_s + crowd.lasts_s for crowd in crowds)
+    has_rest = rng.random() < CROWD_REST_SHARE
+    load_s = ends_at_s + CROWD_REST_S + REST_MARGIN_S if has_rest else rng.uniform(2.0, ends_at_s)
+    has_pause = rng.random() < PAUSE_SHARE
+    pauses = (Pause(round(crowds[0].at_s + 1.0, 3), PAUSE_S),) if has_pause else ()
+    return HostilePlan(
+        base=_base_plan(seed, rng, round(load_s, 3), pauses),
+        abuses=(),
+        crowds=crowds,
+        work_s=rng.choice(CROWD_WORK_S),
+        has_rest=has_rest,
+    )
+
+
+def _draw_crowd(rng: random.Random) -> Crowd:
+    script = json.dumps(hostile_crowd.draw_script(rng)) if rng.random() < ONE_SCRIPT_SHARE else ""
+    at_s = round(rng.uniform(0.5, 1.5), 3)
+    return Crowd(rng.choice(SCRIPTED_CROWDS), at_s, round(rng.uniform(3.0, 8.0), 3), script)
+
+
 def _draw_replacements(rng: random.Random, load_s: float) -> tuple[Replacement, ...]:
     if rng.random() >= REPLACEMENTS_SHARE:
         return ()
--- a/apigateway/tools/shutdown_soak/installation.py
+++ b/apigateway/tools/shutdown_soak/installation.py
@@ -11,7 +11,7 @@
 
 from apigateway.emulators.counter import EmulatedCounter
 from apigateway.emulators.discovery import EmulatedDiscovery
-from apigateway.emulators.hosts import Command, EmulatedHost
+from apigateway.emulators.hosts import EmulatedHost
 from apigateway.emulators.ledger import ClassRules, Ledger, RuleLimits
 from apigateway.emulators.platform import SETTINGS, make_configuration
 from apigateway.emulators.ports import free_port
@@ -29,6 +29,7 @@
 DRAIN_GRACE_S = 1.0
 DEDUPLICATION_WINDOW_S = 3.0
 WORK_S = 0.01  # of a request
+HOST_REQUESTS_PER_S = 800
 LATENCY_OBJECTIVE_SHARE = 0.5  # of the longest deadline
 FINISH_MARGIN_S = 0.4  # of `serve`: after the longest deadline all requests are answered
 _IMPORT_ROOT = Path(__file__).resolve().parents[3]
@@ -91,11 +92,17 @@
     Each reload moves the gateway to the other one of two discovery services, which have the same list.
     """
 
-    def __init__(self, plan: SoakPlan, folder: Path) -> None:
+    def __init__(self, plan: SoakPlan, folder: Path, work_s: float = WORK_S) -> None:
         self.plan = plan
         self.ledger = Ledger(rule_limits())
         self.hosts = [
-            EmulatedHost(name=f"h{number}", cell=number, work=_work, cores=8, ledger=self.ledger)
+            EmulatedHost(
+                name=f"h{number}",
+                cell=number,
+                work=lambda _: work_s,
+                cores=round(HOST_REQUESTS_PER_S * work_s),
+                ledger=self.ledger,
+            )
             for number in range(HOST_COUNT)
         ]
         self.counter = EmulatedCounter()
@@ -201,7 +208,3 @@
         """Leave the open watches without an answer."""
         for discovery in self.discoveries:
             discovery.silence_watches()
-
-
-def _work(_command: Command) -> float:
-    return WORK_S
--- a/tests/tools/test_hostile_soak.py
+++ b/tests/tools/test_hostile_soak.py
@@ -1,5 +1,7 @@
 """A short, seeded part of the soak of hostile clients. The long one: `make hostile-soak SEEDS=50`."""
 
+import json
+
 import pytest
 from gateway_harness import run_on_uvloop
 
@@ -9,7 +11,9 @@
     DOWN_TIMES_S,
     TOLD_AFTER_S,
     Abuse,
+    Crowd,
     Replacement,
+    draw_crowd_plan,
     draw_hostile_plan,
     plan_of,
 )
@@ -18,6 +22,7 @@
 
 SEEDS = range(1, 7)
 CROWD = 450
+CROWD_SEEDS = range(1, 4)
 FLOOD = 6
 
 
@@ -77,6 +82,33 @@
     assert not result.breaches, format_result(result)
 
 
+def _whole_and_half(whole_count):
+    return json.dumps([["read", 1], ["send", "large-body", whole_count, 50, 0]])
+
+
+# Guards against buffers and closed connections that hold memory which nothing counts.
+@pytest.mark.parametrize(
+    "connections, seconds, whole_count",
+    [(700, 6.0, 1), (950, 6.0, 1), (450, 15.0, 2), (700, 6.0, 4), (700, 6.0, 16)],
+)
+@run_on_uvloop
+async def test_memory_when_a_crowd_sends_whole_requests_and_halves_then_it_stays_small(
+    connections, seconds, whole_count
+):
+    crowd = Crowd(connections, 0.5, seconds, _whole_and_half(whole_count))
+    plan = plan_of(1400, crowds=(crowd,), load_s=seconds + 8.8, has_rest=True, work_s=0.2)
+    result = await run_hostile_plan(plan)
+    assert not result.breaches, format_result(result)
+
+
+# Guards against what a list of known kinds of abuse leaves out.
+@pytest.mark.parametrize("seed", CROWD_SEEDS)
+@run_on_uvloop
+async def test_no_rule_is_broken_beside_a_crowd_that_is_drawn_by_grammar(seed):
+    result = await run_hostile_plan(draw_crowd_plan(seed))
+    assert not result.breaches, format_result(result)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @run_on_uvloop
 async def test_no_rule_is_broken_beside_drawn_abuse(seed):
