Share one parser of replies and commands, so that no connection keeps its buffer

Callers saw: with hundreds of clients that sent whole large requests and halves, the process passed its memory limit and was killed (426 MiB at 192).

Cause: a message that arrives in pieces, as all over 16 KiB do, went through the hiredis reader of its connection. A reader keeps what it grew to, 64 to 128 KiB, for as long as it lives, and no account counted it. Evidence: 464 streams that carried one reply of 65,000 bytes each grew the process by 31,604 KiB.

All streams share one reader now, which is given one complete message at a time and is empty between two.

The test that hiredis gets complete messages only now patches the module that uses it; its check is the same.

--- a/apigateway/upstream/framing.py
+++ b/apigateway/upstream/framing.py
@@ -10,7 +10,7 @@
 import re
 from typing import Any
 
-import hiredis
+from apigateway.upstream.message_parser import MESSAGE_PARSER, MessageParseError
 
 MAX_BODY_BYTES = 64 * 1024  # of a value or body, set by the protocol
 MAX_MESSAGE_BYTES = MAX_BODY_BYTES + 4096  # including framing; bounds the memory for an endless message
@@ -57,13 +57,12 @@
     `buffer` holds the bytes that are not yet part of a returned message.
     """
 
-    __slots__ = ("buffer", "_position", "_parts_left", "_reader")
+    __slots__ = ("buffer", "_position", "_parts_left")
 
     def __init__(self) -> None:
         self.buffer = bytearray()
         self._position = 0  # start of the next part of the first message
         self._parts_left = 1  # parts of the first message that have not been scanned
-        self._reader = hiredis.Reader()
 
     def feed(self, data: bytes | memoryview) -> None:
         """Append received bytes."""
@@ -86,9 +85,8 @@
         if not end:
             return NO_MESSAGE
         try:
-            self._reader.feed(bytes(self.buffer[:end]))
-            message = self._reader.gets()
-        except (hiredis.ProtocolError, MemoryError) as error:
+            message = MESSAGE_PARSER.parse(bytes(self.buffer[:end]))
+        except MessageParseError as error:
             raise FramingError(str(error)) from error
         del self.buffer[:end]
         self._position = 0
--- a/tests/upstream/test_upstream.py
+++ b/tests/upstream/test_upstream.py
@@ -25,7 +25,7 @@
 from apigateway import messages
 from apigateway.emulators.resp import fields
 from apigateway.upstream import attempt as attempt_module
-from apigateway.upstream import connection_pool, framing, upstream_connections
+from apigateway.upstream import connection_pool, framing, message_parser, upstream_connections
 from apigateway.upstream.attempt import Attempt
 from apigateway.upstream.connection import Connection
 
@@ -68,6 +68,9 @@
             self.incomplete_messages.append(self.data)
         return message
 
+    def has_data(self):
+        return self.reader.has_data()
+
 
 @run_on_uvloop
 async def test_load_report_when_malformed_then_is_ignored(tmp_path):
@@ -118,7 +121,8 @@
     checked_hiredis = SimpleNamespace(
         Reader=lambda: CheckedReader(incomplete_messages), ProtocolError=hiredis.ProtocolError
     )
-    monkeypatch.setattr(framing, "hiredis", checked_hiredis)
+    monkeypatch.setattr(message_parser, "hiredis", checked_hiredis)
+    monkeypatch.setattr(framing, "MESSAGE_PARSER", message_parser.MessageParser())
     async with EmulatedHost(malformed_reply) as host, GatewayHarness(host, path=tmp_path) as harness:
         assert (await harness.send_command(make_write_command(service_class=b"note"))).startswith(b"-ERR")
         assert incomplete_messages == []
