Free connections and requests by reference counts as soon as they have ended

Callers saw: beside a crowd that comes again when it is closed, the process grew by thousands of connections that had ended, and was still 30 to 150 MiB larger 8 s after.

Cause: two rings of references. A connection and its input for the scheduler (a bound method) referred to each other, as did a request in flight and its sink, the response's slot, which refers to the connection. What had ended lived until a full garbage collection, with all that it held.

The input drops its connection when that is lost, gRPC's too; a request drops its sink with its final response.

A test of the core looked at the request through its sink's token, which is gone now; it looks at the table.

--- a/apigateway/core/in_flight_request.py
+++ b/apigateway/core/in_flight_request.py
@@ -29,12 +29,37 @@
 NO_UPSTREAM_REQUEST = NoUpstreamRequest()
 
 
+class NoSink:
+    """The sink of a finished request: nobody waits for a response."""
+
+    token: Any = None
+
+    def is_client_connected(self) -> bool:
+        """Return that nobody waits."""
+        return False
+
+    def complete(self, value: bytes) -> None:
+        """Raise, because the response has been sent."""
+        raise AssertionError("a finished request has no further response")
+
+    def reject(self, retry_after: float) -> None:
+        """Raise, because the response has been sent."""
+        raise AssertionError("a finished request has no further response")
+
+    def fail(self) -> None:
+        """Raise, because the response has been sent."""
+        raise AssertionError("a finished request has no further response")
+
+
+NO_SINK = NoSink()
+
+
 class InFlightRequest:
     """An accepted request that is not finished or has active attempts.
 
     Attributes:
         request_id: Unique among the requests in flight.
-        sink: Receives the final response.
+        sink: Receives the final response; `NO_SINK` once finished.
         upstream_request: Encodes the message that is sent to endpoints; without its body once finished.
         frontend: Frontend whose capacity the request uses.
         deadline: Time by which the decision module must have decided, on the clock of `time.monotonic`.
--- a/apigateway/core/in_flight_table.py
+++ b/apigateway/core/in_flight_table.py
@@ -11,7 +11,12 @@
 from apigateway.core.context import CoreContext
 from apigateway.core.deadlines import RESPONSE_MARGIN_S
 from apigateway.core.executed_requests import ExecutedRequests
-from apigateway.core.in_flight_request import NO_UPSTREAM_REQUEST, NOT_REGISTERED, InFlightRequest
+from apigateway.core.in_flight_request import (
+    NO_SINK,
+    NO_UPSTREAM_REQUEST,
+    NOT_REGISTERED,
+    InFlightRequest,
+)
 from apigateway.core.interfaces import InFlightRegistry, ResponseSink, UpstreamRequest
 from apigateway.core.outcomes import AcquireFailure
 
@@ -127,15 +132,16 @@
         self.memory_budget.acquire(frontend, upstream_request.size_bytes)
         return in_flight
 
-    def release_body(self, in_flight: InFlightRequest) -> None:
-        """Release the body of a finished request, which no further attempt needs.
+    def release_client(self, in_flight: InFlightRequest) -> None:
+        """Release the body of a finished request, and the sink, which refers to the client's connection.
 
-        The request itself may be referenced for longer, by attempts that have not ended and by a response
-        that waits for its turn.
+        The request itself may be referenced for longer, by attempts that have not ended.
         """
         size_bytes = in_flight.upstream_request.size_bytes
         in_flight.upstream_request = NO_UPSTREAM_REQUEST
         self.memory_budget.release(in_flight.frontend, size_bytes)
+        in_flight.sink.token = None
+        in_flight.sink = NO_SINK
 
     def release_if_ended(self, in_flight: InFlightRequest) -> None:
         """Release a request's place in the table once it is finished and its last attempt has ended."""
--- a/apigateway/core/input_scheduler.py
+++ b/apigateway/core/input_scheduler.py
@@ -55,6 +55,14 @@
         self.cost_factor = 1.0
         self.is_queued = False
 
+    def close(self) -> None:
+        """Drop the reference to the connection, which has ended; input that is queued is ignored."""
+        self.handle_input = _ignore_input
+
+
+def _ignore_input(_until: float) -> bool:
+    return False
+
 
 class InputScheduler:
     """Decides which connection's input is handled next, and for how long.
--- a/apigateway/core/responses.py
+++ b/apigateway/core/responses.py
@@ -101,7 +101,7 @@
             self._abandon_unwritten_attempts(in_flight)
         if in_flight.plugins is not None:
             self._notify_plugins(in_flight, in_flight.plugins, outcome)
-        self._table.release_body(in_flight)
+        self._table.release_client(in_flight)
         self._table.release_if_ended(in_flight)
 
     def abort(self, in_flight: InFlightRequest) -> None:
--- a/apigateway/frontends/grpc/connection.py
+++ b/apigateway/frontends/grpc/connection.py
@@ -117,6 +117,7 @@
         self._stream_handlers = {}
         for call in open_calls.values():
             call.on_cancelled()
+        self._input.close()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which limits how much is read at once."""
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -89,6 +89,7 @@
         self.server.on_disconnected(self)
         self.framing.clear()
         self.cancel_pending()
+        self.input.close()
 
     def eof_received(self) -> None:
         """Cancel the pending commands, and drop those that are deferred: the client has disconnected.
--- a/tests/core/test_responses.py
+++ b/tests/core/test_responses.py
@@ -36,4 +36,5 @@
     harness.module.next_actions = [messages.Reject("a")]
     harness.core.dispatch(messages.DrainGateway(True))
     assert sink.answers == ["refused"] and harness.core.in_flight
-    assert not harness.core.memory_budget.used and not sink.token.upstream_request.size_bytes
+    in_flight = harness.core.in_flight["a"]
+    assert not harness.core.memory_budget.used and not in_flight.upstream_request.size_bytes
