Count the time in the accept queue from when a connection came, not the crowd

Callers saw: beside a crowd that connects again and again, requests on new connections refused although there was time; the log said REJECTED 0.7 to 3.2 s after the client's timeout, attempts 0, more by one second each second.

Cause: a connection counted as old as the kernel's queue of connections, and the queue was never seen empty while the crowd lasted.

The queue is first in, first out, and the kernel tells its length: what stands behind the connections of an earlier look came after it. Where the length is not told, or another process accepts from the same queue, the earlier time stands.

--- a/apigateway/frontends/listener.py
+++ b/apigateway/frontends/listener.py
@@ -16,6 +16,7 @@
 from time import monotonic
 
 from apigateway.core.input_scheduler import InputScheduler
+from apigateway.frontends.queue_arrivals import QueueArrivals
 from apigateway.upstream import socket_state
 from apigateway.upstream.address import Address
 
@@ -90,9 +91,9 @@
         self._on_established = on_established
         self._establishing: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
-        self._is_paused = False
-        self._has_queue = False  # connections were left in the kernel's queue
-        self._queued_since = 0.0  # since when they may be there
+        self._is_paused = False  # for a shortage of descriptors or memory
+        self._is_suspended = False  # until `resume`
+        self._arrivals = QueueArrivals()
         self._logged_at = -LOG_INTERVAL_S
 
     @property
@@ -119,8 +120,7 @@
                 log.warning("cannot listen on %s:%d yet: %s", *address, error)
             await asyncio.sleep(OPEN_RETRY_DELAY_S)
         # Clients may have connected before the first look at the queue, to a passed socket also before this.
-        self._has_queue = True
-        self._queued_since = monotonic() if sock is None else -math.inf
+        self._arrivals.restart(monotonic() if sock is None else -math.inf)
         self._start_accepting()
         return int(self._socket.getsockname()[1])
 
@@ -128,11 +128,27 @@
         """Accept no more connections; those in the kernel's queue are reset."""
         if self._socket is None:
             return
-        if not self._is_paused:
+        if not self._is_paused and not self._is_suspended:
             asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
         self._socket = None
 
+    def suspend(self) -> None:
+        """Leave new connections in the kernel's queue until `resume`."""
+        if self._is_suspended:
+            return
+        self._is_suspended = True
+        if self._socket is not None and not self._is_paused:
+            asyncio.get_running_loop().remove_reader(self._socket)
+
+    def resume(self) -> None:
+        """Accept connections again, those that waited first."""
+        if not self._is_suspended:
+            return
+        self._is_suspended = False
+        if not self._is_paused:
+            self._start_accepting()
+
     @property
     def establishing_count(self) -> int:
         """How many accepted connections are not established yet."""
@@ -165,16 +181,17 @@
 
     def _start_accepting(self) -> None:
         self._is_paused = False
-        if self._socket is not None:
+        if self._socket is not None and not self._is_suspended:
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def _accept(self) -> None:
         """Accept pending connections for a time."""
         started_at = monotonic()
-        if not self._has_queue:
-            self._queued_since = started_at
+        self._arrivals.on_ready(started_at)
         self._accept_until(started_at + ACCEPT_TIME_S)
-        self._has_queue = self.has_pending_connections
+        if self._socket is not None:
+            has_queue = self.has_pending_connections
+            self._arrivals.on_look(monotonic(), self.pending_connection_count if has_queue else 0, has_queue)
 
     def _accept_until(self, until: float) -> None:
         while self._socket is not None and self._can_accept():
@@ -184,13 +201,14 @@
                 return
             except OSError as error:
                 if error.errno in _CONNECTION_ERRORS:
+                    self._arrivals.take()
                     continue
                 self._pause(error)
                 return
             sock.setblocking(False)
             with contextlib.suppress(OSError):  # the client may have reset the connection
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._on_accepted(sock, self._queued_since)
+            self._on_accepted(sock, self._arrivals.take())
             if not self._input_scheduler.queue_length or monotonic() >= until:
                 return
 
