Refuse a connection beyond the limit without registering it

Cause: a connection that was refused for the limit went through a task, a transport and a registered connection first, about as dear as one that is served, at 1,100 a second; the queue behind it waited.

Whether a connection can give way is decided when the new one is accepted. If none can, the error is sent, what has arrived is read, so that the close does not reset the connection and lose the error, and the socket closed.

--- a/apigateway/frontends/resp/activity_log.py
+++ b/apigateway/frontends/resp/activity_log.py
@@ -57,6 +57,10 @@
         if self._logs_each:
             log.debug("connection %d of %s closed: %s", connection.number, connection.peer, reason)
 
+    def on_rejected(self) -> None:
+        """Record a new connection that got an error, for there are too many."""
+        self._closed[CloseReason.TOO_MANY_CONNECTIONS] += 1
+
     def on_refused(self, connection: ClientConnection, reason: str) -> None:
         """Record an invalid command; `reason` is one of the fixed texts that clients get."""
         self._refused[reason] += 1
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -46,12 +46,10 @@
     Args:
         server: The server that accepted it.
         queued_since: When it may have come, at the earliest, with its first data.
-        is_rejected: Whether it gets an error and is closed, for there are too many connections.
     """
 
-    def __init__(self, server: ConnectionOwner, queued_since: float, is_rejected: bool = False) -> None:
+    def __init__(self, server: ConnectionOwner, queued_since: float) -> None:
         self.server = server
-        self.is_rejected = is_rejected
         self.number = 0  # set by the server, from 1
         self.peer = ""  # the client's address
         self.transport: asyncio.Transport
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from time import monotonic
@@ -14,6 +15,7 @@
 
 from apigateway.core.memory_pressure import PressureStage
 from apigateway.frontends.listener import Listener
+from apigateway.frontends.read_buffer import READ_BYTES
 from apigateway.frontends.resp.activity_log import ActivityLog, CloseReason
 from apigateway.frontends.resp.client_connection import ClientConnection
 from apigateway.frontends.resp.connection_limits import ConnectionLimits
@@ -124,20 +126,27 @@
         return self._accepted_count < MAX_ACCEPTED
 
     def _on_accepted(self, sock: socket.socket, queued_since: float) -> None:
+        is_full = len(self.connections) + self._accepted_count >= self.max_connections
+        if is_full and not self.memory_limits.evict():  # file descriptors are limited
+            self._reject(sock)
+            return
         self._accepted_count += 1
-        is_over_limit = len(self.connections) + self._accepted_count > self.max_connections
-        is_rejected = is_over_limit and not self.memory_limits.evict()  # file descriptors are limited
         unread_since = self.loop_lag.unread_since(monotonic())
         if unread_since is not None:
             queued_since = min(queued_since, unread_since)
-        self._listener.establish(self._establish(sock, queued_since, is_rejected))
+        self._listener.establish(self._establish(sock, queued_since))
+
+    def _reject(self, sock: socket.socket) -> None:
+        """Send an error and close; the cost of a registered connection would hold up the queue behind it."""
+        self.activity.on_rejected()
+        with sock, contextlib.suppress(OSError):
+            sock.send(TOO_MANY_CONNECTIONS_RESPONSE)
+            sock.recv(READ_BYTES)  # a close over unread data would reset the connection, and lose the error
 
-    async def _establish(self, sock: socket.socket, queued_since: float, is_rejected: bool) -> None:
+    async def _establish(self, sock: socket.socket, queued_since: float) -> None:
         loop = asyncio.get_running_loop()
         try:
-            await loop.connect_accepted_socket(
-                lambda: ClientConnection(self, queued_since, is_rejected), sock
-            )
+            await loop.connect_accepted_socket(lambda: ClientConnection(self, queued_since), sock)
         except OSError as error:
             log.info("failed to establish a connection: %s", error)
             self._accepted_count -= 1
@@ -201,20 +210,13 @@
     # Callbacks of connections (client_connection.ConnectionOwner)
 
     def on_connected(self, connection: ClientConnection) -> None:
-        """Register a new connection, or reject it: the limit was reached and no other could be evicted."""
+        """Register a new connection."""
         self.connections.add(connection)
         self.count_memory(CONNECTION_BYTES)
         self._accepted_count -= 1
         self._connection_count += 1
         connection.number = self._connection_count
         connection.peer = _format_address(connection.transport.get_extra_info("peername"))
-        if connection.is_rejected:
-            self.activity.on_closed(connection, CloseReason.TOO_MANY_CONNECTIONS)
-            connection.transport.write(TOO_MANY_CONNECTIONS_RESPONSE)
-            connection.is_closing = True
-            connection.is_framing_lost = True
-            connection.transport.close()
-            return
         self.on_idle(connection)
         connection.is_closing = self.is_draining  # it was accepted just before the listener was closed
 
