Write the error for invalid input before the connection of a shutdown is closed

Callers saw: an ending gateway answered a command and closed without the error that invalid input behind it is owed; its log had an unhandled RuntimeError, 'Cannot call write() after write_eof()', and the input's turn ended early.

Cause: while commands are read, responses are collected and written at the end. On invalid input they were written first, and with nothing pending any more a draining connection closed its sending side; the error came after that.

The responses and the error are written together now, then the connection closes; a half-closed one is not failed again. The same was looked for in the other ways to fail a connection (limits, timeouts): on_idle_timeout checks already, the limit on partial commands had the same order and is covered by the second guard (read, not forced).

--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -168,7 +168,8 @@
             self.is_deferred = self._read_commands(until)
         except FramingError:
             self.is_deferred = False
-            self._end_reading_commands()
+            self.is_reading_commands = False  # the error is written with the responses before it, then closed
+            self.has_unflushed_responses = False
             self._fail_connection(PROTOCOL_ERROR_RESPONSE, CloseReason.PROTOCOL_ERROR)
             return False
         finally:
@@ -395,6 +396,8 @@
 
     def _fail_connection(self, response: bytes, reason: CloseReason) -> None:
         """Fail pending commands, send `response` and close: no further input can be parsed."""
+        if self.is_half_closed:
+            return
         self.server.activity.on_closed(self, reason)
         self.is_framing_lost = True
         self.is_closing = True
--- a/tests/frontends/resp/test_resp_server.py
+++ b/tests/frontends/resp/test_resp_server.py
@@ -8,6 +8,7 @@
 
 import pytest
 from gateway_harness import (
+    PING,
     VALUE,
     VALUE_REPLY,
     EmulatedHost,
@@ -250,3 +251,18 @@
                 await server._listener.open(listener.getsockname(), listener.dup())
                 command = await host.arrivals.get()
                 assert time.monotonic() + int(fields(command)["d"]) / 1000 <= sent_at + 2.0 + DEADLINE_SLACK_S
+
+
+# Guards against an error that is written after the connection's sending side was closed in a shutdown.
+@run_on_uvloop
+async def test_invalid_input_behind_a_command_when_draining_then_both_are_answered(tmp_path, caplog):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        writer.write(PING[:-3])
+        server = harness.server.frontends[0].server
+        while not server.partial_bytes:
+            await asyncio.sleep(0.005)
+        harness.server.frontends[0].start_draining()
+        writer.write(PING[-3:] + b"?\r\n")
+        assert await reader.read() == b"+PONG\r\n-ERR protocol error\r\n"
+        assert "Exception" not in caplog.text
