--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from time import monotonic
 from typing import TYPE_CHECKING, cast
@@ -16,6 +15,7 @@
 from apigateway.core.input_scheduler import BULK_COST_FACTOR, ConnectionInput
 from apigateway.frontends.read_buffer import READ_BUFFER, READ_BYTES
 from apigateway.frontends.resp.activity_log import CloseReason
+from apigateway.frontends.resp.arrival_times import ArrivalTimes
 from apigateway.frontends.resp.response_slot import FAILED_RESPONSE, ResponseSlot
 from apigateway.upstream import socket_state
 from apigateway.upstream.framing import NO_MESSAGE, Framing, FramingError
@@ -25,8 +25,6 @@
 
 # Commands of one connection without a response. At this limit the connection is not read.
 MAX_PENDING_COMMANDS = 512
-# Longest time for which data is taken to have waited in the queue of a socket that was passed to the process.
-MAX_UNREAD_S = 10.0
 # Bytes that wait for a client to read them before the connection counts as blocked.
 WRITE_BUFFER_BYTES = 16 * 1024
 # Responses are passed to the transport in batches of this size.
@@ -60,11 +58,7 @@
         self.response_bytes = 0  # of responses that are not passed to the transport
         self.counted_bytes = 0  # of the memory for clients, received bytes and responses
         self.dropped_bytes = 0  # received after a framing error
-        self.received_at = 0.0  # when data was last read, by the input scheduler's clock
-        self.arrived_at = 0.0  # when the data that was last read may have arrived, at the earliest
-        self.unread_since = queued_since  # since when unread data may wait, if `may_have_unread`
-        self.is_backlogged = False  # the last read filled the buffer
-        self.may_have_unread = False  # the connection was not read, or not to the end
+        self.arrivals = ArrivalTimes(server.loop_lag, queued_since)
         self.is_closing = False  # it closes once no command is pending
         self.is_framing_lost = False  # no further input can be parsed
         self.is_half_closed = False  # the sending side is closed, and nothing more is read
@@ -81,7 +75,7 @@
         """Register the connection."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self.may_have_unread = self.has_unread_data()
+        self.arrivals.may_have_unread = self.has_unread_data()
         self.server.on_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -113,33 +107,15 @@
             return
         self.framing.feed(READ_BUFFER[:nbytes])
         scheduler = self.server.input_scheduler
-        self._record_arrival(scheduler.clock(), nbytes == READ_BYTES)
+        sock = self.transport.get_extra_info("socket")
+        self.arrivals.on_read(scheduler.clock(), nbytes == READ_BYTES, sock)
         scheduler.handle(self.input)
         if self.input.is_queued and not self.is_deferred:
             self._defer()
 
-    def _record_arrival(self, now: float, is_buffer_full: bool) -> None:
-        """Record when the data that was read may have arrived: since the socket was last seen empty."""
-        self.received_at = now
-        if self.may_have_unread and self.unread_since > -math.inf:
-            self.arrived_at = self.unread_since
-        elif self.may_have_unread:
-            self.arrived_at = now - min(MAX_UNREAD_S, self._data_age_s())
-        elif (unread_since := self.server.loop_lag.unread_since(now)) is not None:
-            self.arrived_at = max(unread_since, now - self._data_age_s())
-        else:
-            self.arrived_at = now
-        self.is_backlogged = is_buffer_full
-        self.may_have_unread = is_buffer_full
-        self.unread_since = self.arrived_at
-
-    def _data_age_s(self) -> float:
-        """Return how long ago the last data arrived at the socket."""
-        return socket_state.data_age_s(self.transport.get_extra_info("socket"))
-
     def waited_s(self) -> float:
         """Return how long the commands that are being handled may have waited."""
-        return self.server.input_scheduler.clock() - self.arrived_at
+        return self.server.input_scheduler.clock() - self.arrivals.arrived_at
 
     def pause_writing(self) -> None:
         """Stop reading from a client that does not read its responses."""
@@ -194,7 +170,7 @@
     def _read_commands(self, until: float) -> bool:
         """Read commands until a time, and return whether some may be left. Raises FramingError."""
         clock = self.server.input_scheduler.clock
-        self.input.cost_factor = BULK_COST_FACTOR if self.is_backlogged else 1.0
+        self.input.cost_factor = BULK_COST_FACTOR if self.arrivals.is_backlogged else 1.0
         while self._can_read_commands():
             available_bytes = len(self.framing.buffer)
             command = self.framing.next_message()
@@ -254,9 +230,7 @@
             return
         self.is_read_paused = is_paused
         if is_paused:
-            if not self.may_have_unread:
-                self.may_have_unread = True
-                self.unread_since = self.server.input_scheduler.clock()
+            self.arrivals.on_reading_paused(self.server.input_scheduler.clock())
             self.transport.pause_reading()
             self.server.on_read_paused(self)
         else:
--- a/apigateway/frontends/resp/frontend.py
+++ b/apigateway/frontends/resp/frontend.py
@@ -222,7 +222,7 @@
         A command that may be running is not rejected, because a rejection means that it has not run.
         """
         retry_after = admission.retry_after_if_shed(
-            scanned.priority_step, scanned.customer, scanned.remaining, slot.connection.received_at
+            scanned.priority_step, scanned.customer, scanned.remaining, slot.connection.arrivals.received_at
         )
         if retry_after < 0 or self.core.is_in_flight(scanned.request_id, scanned.is_write):
             return False
