Trim the heap only when what nothing counts has grown since the last time

Need: the guard trimmed every 0.5 s while the process was 8 MiB larger than its start and account, which a gateway with many customers or hosts is for good. It now compares with the least since the last trim.

--- a/apigateway/daemon/memory_guard.py
+++ b/apigateway/daemon/memory_guard.py
@@ -19,11 +19,13 @@
 READ_INTERVAL_S = 0.1
 FAST_READ_INTERVAL_S = 0.02
 GROWTH_BYTES = 1024 * 1024
-# Freed memory is returned when the process is larger than its start and the account by this, or after clients
-# have used TRIM_AFTER_BYTES, at most every TRIM_INTERVAL_S (under pressure every reading).
+# Freed memory is returned when what no account counts has grown by this since the last time, at most every
+# TRIM_INTERVAL_S (under pressure at every reading).
 TRIM_SURPLUS_BYTES = 8 * 1024 * 1024
-TRIM_AFTER_BYTES = 16 * 1024 * 1024
 TRIM_INTERVAL_S = 0.5
+# It is also returned after clients have used this much since the last time.
+TRIM_AFTER_BYTES = 16 * 1024 * 1024
+TRIM_AFTER_INTERVAL_S = 2.0
 # Memory beyond the start that no account counts, above which a line is logged.
 MAX_UNCOUNTED_BYTES = 24 * 1024 * 1024
 LOG_INTERVAL_S = 5.0
@@ -80,6 +82,7 @@
         self._trim = trim
         self._trimmed_at_total = 0.0
         self._trimmed_at = 0.0
+        self._least_uncounted_bytes = 0  # since the last trim
         self._logged_at = -LOG_INTERVAL_S
         self._is_stopped = False
         self._timer: asyncio.TimerHandle | None = None
@@ -94,7 +97,7 @@
         size_bytes = self._size.read()
         if size_bytes is None:
             log.warning("the size of the process cannot be read: only the account of clients limits memory")
-            self._schedule(TRIM_INTERVAL_S, self._trim_by_account)
+            self._schedule(TRIM_AFTER_INTERVAL_S, self._trim_by_account)
             return
         self._start_bytes = size_bytes
         self.size_bytes = size_bytes
@@ -130,6 +133,7 @@
         if self._should_trim(stage):
             self._do_trim()
             self.size_bytes = self._size.read() or self.size_bytes
+            self._least_uncounted_bytes = self.uncounted_bytes
             stage = self.pressure.update(self.size_bytes)
         if stage != old_stage:
             self._on_stage_changed(stage)
@@ -149,21 +153,23 @@
     def _should_trim(self, stage: PressureStage) -> bool:
         if self._trim is None:
             return False
-        interval_s = TRIM_INTERVAL_S if stage == PressureStage.NORMAL else FAST_READ_INTERVAL_S
-        if monotonic() - self._trimmed_at < interval_s:
+        self._least_uncounted_bytes = min(self._least_uncounted_bytes, self.uncounted_bytes)
+        if stage > PressureStage.NORMAL:
+            return True
+        if monotonic() - self._trimmed_at < TRIM_INTERVAL_S:
             return False
-        used_since_bytes = self._budget.acquired_total - self._trimmed_at_total
-        has_surplus = self.uncounted_bytes > TRIM_SURPLUS_BYTES and used_since_bytes > 0
-        return has_surplus or stage > PressureStage.NORMAL
+        return self.uncounted_bytes > self._least_uncounted_bytes + TRIM_SURPLUS_BYTES or self._is_trim_due()
+
+    def _is_trim_due(self) -> bool:
+        """Return whether clients have used so much that it is worth a trim."""
+        used_bytes = self._budget.acquired_total - self._trimmed_at_total
+        return used_bytes >= TRIM_AFTER_BYTES and monotonic() - self._trimmed_at >= TRIM_AFTER_INTERVAL_S
 
     def _trim_by_account(self) -> None:
         """Return freed memory after clients have used much, where the size cannot be read."""
-        if (
-            self._trim is not None
-            and self._budget.acquired_total - self._trimmed_at_total >= TRIM_AFTER_BYTES
-        ):
+        if self._trim is not None and self._is_trim_due():
             self._do_trim()
-        self._schedule(TRIM_INTERVAL_S, self._trim_by_account)
+        self._schedule(TRIM_AFTER_INTERVAL_S, self._trim_by_account)
 
     def _do_trim(self) -> None:
         assert self._trim is not None
--- a/tests/daemon/test_memory_guard.py
+++ b/tests/daemon/test_memory_guard.py
@@ -18,7 +18,9 @@
     run_on_uvloop,
 )
 
+from apigateway.core.budget import Budget
 from apigateway.core.memory_pressure import STAGE_SHARES, PressureStage
+from apigateway.daemon import memory_guard
 from apigateway.daemon.memory_guard import MemoryGuard
 from apigateway.daemon.process_size import ProcessSize, find_trim
 
@@ -147,6 +149,38 @@
             await release()
 
 
+class FixedSize:
+    """A process that grows at its second reading, by what no trim returns."""
+
+    def __init__(self):
+        self.sizes = [100_000_000, 120_000_000]
+
+    def read(self):
+        return self.sizes.pop(0) if len(self.sizes) > 1 else self.sizes[0]
+
+
+# Guards against a heap that is trimmed again and again although that returns nothing.
+@run_on_uvloop
+async def test_trim_when_it_returned_nothing_then_it_is_not_repeated(monkeypatch):
+    monkeypatch.setattr(memory_guard, "TRIM_INTERVAL_S", 0.0)
+    trims, readings = [], asyncio.Queue()
+    size = FixedSize()
+
+    def read():
+        readings.put_nowait(None)
+        return FixedSize.read(size)
+
+    size.read = read
+    guard = MemoryGuard(
+        1_000_000_000, Budget(1000.0), lambda: [], lambda _: None, size, lambda: trims.append(1)
+    )
+    guard.start()
+    for _ in range(8):
+        await readings.get()
+    guard.stop()
+    assert len(trims) == 1
+
+
 class UnreadableSize:
     def read(self):
         return None
