Let time that a connection was idle make up for time that it used

Cause: each new connection starts at the scheduler's virtual time, and while new ones are always waiting that time stands still. A connection that has used a few ms, such as a pipeline, is behind all that come: its input waited up to 5.5 s (the log's line on clients). It gets no credit either, since the time that credit counts from does not move.

A connection's idle time, by the clock, now makes up for what it used, up to the credit it had before. One that has input waiting is not idle, so floods gain nothing.

The new test failed before (0.087 s of 0.011 s allowed).

--- a/apigateway/core/input_scheduler.py
+++ b/apigateway/core/input_scheduler.py
@@ -2,16 +2,18 @@
 
 A connection that sends without pause could otherwise keep the loop busy until other clients' requests are
 past their deadlines. All frontends share one scheduler. It is a fair queue by virtual time, as in the
-completely fair scheduler of Linux: the connection whose input has used the least time goes first. One that
-was idle for a while has saved up IDLE_CREDIT_S at most. A new one starts beside the first that waits. Time
-for commands that ask for no work, such as PING and invalid ones, counts BULK_COST_FACTOR times, as does that
-of a connection that has sent more than is read at once.
+completely fair scheduler of Linux: the connection whose input has used the least time goes first. Time that
+it was idle makes up for time that it used, and one that was idle for long is ahead by IDLE_CREDIT_S. A new
+one starts beside the first that waits, so those that come without end do not hold up the others. Time for
+commands that ask for no work, such as PING and invalid ones, counts BULK_COST_FACTOR times, as does that of a
+connection that has sent more than is read at once.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
 import time
 from collections.abc import Callable
 
@@ -45,9 +47,18 @@
         cost_factor: What the time of the slice that was handled last counts, set by `handle_input`.
         is_queued: Whether it waits for its turn. Its connection is not read meanwhile.
         queued_at: Since when it waits, by the scheduler's clock.
+        idle_since: Since when it has had no input; infinite while it has some.
     """
 
-    __slots__ = ("handle_input", "virtual_time_s", "used_s", "cost_factor", "is_queued", "queued_at")
+    __slots__ = (
+        "handle_input",
+        "virtual_time_s",
+        "used_s",
+        "cost_factor",
+        "is_queued",
+        "queued_at",
+        "idle_since",
+    )
 
     def __init__(self, handle_input: Callable[[float], bool]) -> None:
         self.handle_input = handle_input
@@ -56,6 +67,7 @@
         self.cost_factor = 1.0
         self.is_queued = False
         self.queued_at = 0.0
+        self.idle_since = math.inf
 
     def close(self) -> None:
         """Drop the reference to the connection, which has ended; input that is queued is ignored."""
@@ -116,8 +128,8 @@
         if self._queue or self._immediate_time_s >= IMMEDIATE_TIME_S:
             self.enqueue(source)
             return
-        source.virtual_time_s = self._start_time_s(source)
         started_at = self.clock()
+        source.virtual_time_s = self._start_time_s(source, started_at)
         slice_ends_at = started_at + SLICE_TIME_S
         ended_at = self._run_slice(source, source.virtual_time_s, started_at, slice_ends_at)
         # Nobody waited, so nobody has to be compensated for this time.
@@ -133,7 +145,7 @@
         source.is_queued = True
         source.queued_at = self.clock()
         self._queued_count += 1
-        source.virtual_time_s = self._start_time_s(source)
+        source.virtual_time_s = self._start_time_s(source, source.queued_at)
         heapq.heappush(self._queue, (source.virtual_time_s, next(self._numbers), source))
         self._schedule_turn()
 
@@ -169,6 +181,7 @@
         elapsed_s = ended_at - started_at
         source.used_s += elapsed_s
         source.virtual_time_s = virtual_time_s + elapsed_s * source.cost_factor
+        source.idle_since = math.inf if has_more else ended_at
         if has_more:
             self.enqueue(source)
         return ended_at
@@ -177,10 +190,11 @@
         waiting_count = len(self._queue) + 1
         return max(MIN_SLICE_TIME_S, min(SLICE_TIME_S, ROUND_TIME_S / waiting_count))
 
-    def _start_time_s(self, source: ConnectionInput) -> float:
+    def _start_time_s(self, source: ConnectionInput, now: float) -> float:
         if source.virtual_time_s is None:
             return self._virtual_time_s
-        return max(source.virtual_time_s, self._virtual_time_s - IDLE_CREDIT_S)
+        idle_s = max(0.0, now - source.idle_since)
+        return max(source.virtual_time_s - idle_s, self._virtual_time_s - IDLE_CREDIT_S)
 
     def _schedule_turn(self) -> None:
         if not self._is_turn_scheduled:
--- a/tests/core/test_input_scheduler.py
+++ b/tests/core/test_input_scheduler.py
@@ -191,3 +191,28 @@
 def _with_next_command(harness, source, cost_s):
     source.handle_input = harness.add("busy", 1, cost_s).handle_input
     return source
+
+
+# Guards against new connections that come without end and each go first.
+def test_connection_that_was_idle_when_new_ones_keep_coming_then_its_pipeline_is_handled_at_once():
+    harness = SchedulerHarness()
+    command_s = SLICE_TIME_S / 4
+    pipeline = harness.add("pipeline", 40, command_s)  # half of its credit
+    harness.scheduler.enqueue(pipeline)
+    while "pipeline" not in harness.handled or pipeline.is_queued:
+        harness.run_iteration()
+    used_s = 40 * command_s
+    for number in range(100):  # as many as there is time for, so that some wait at any time
+        harness.scheduler.enqueue(harness.add(number, 1, command_s))
+    started_at = harness.now
+    while harness.now < started_at + IDLE_CREDIT_S + used_s:
+        harness.scheduler.enqueue(harness.add("new", 40, command_s))
+        harness.run_iteration()
+    harness.handled.clear()
+    pipeline.handle_input = harness.add("pipeline", 40, command_s).handle_input
+    harness.scheduler.enqueue(pipeline)
+    started_at = harness.now
+    while harness.handled.count("pipeline") < 40 and harness.now < started_at + 1.0:
+        harness.scheduler.enqueue(harness.add("new", 40, command_s))
+        harness.run_iteration()
+    assert harness.now - started_at <= used_s + 2 * TURN_TIME_S
