Count the stages of memory from the start where a small limit is nearly used up then

Need: shares of the limit alone would let a gateway with 56 MiB, which the settings accept, reject all requests from its start, when it has 45. With over half of the limit used at the start the stages are shares of what is left above it; a process that starts larger than its limit says so once, and keeps to the account. Tests for both; the first fails with the rule before.

The test of a worker over its memory limit hung: its 320 writes with bodies took a worker to 50 MiB on, 4 MiB over its start, and take it to 45 now, since the parsers' buffers and ended objects are gone (measured with both trees). It now has 240 unfinished commands beside them, so that the limit is passed again; its checks are the same.

--- a/apigateway/core/memory_pressure.py
+++ b/apigateway/core/memory_pressure.py
@@ -27,6 +27,9 @@
     PressureStage.REJECT: 0.8,
     PressureStage.CLOSE_IDLE: 0.9,
 }
+# With a larger share of the limit used at the start, the stages are shares of what is left above the start:
+# a small limit must not reject requests before there are any.
+MAX_START_SHARE = 0.5
 # A stage is left at this share of the limit below the one at which it is entered.
 EXIT_MARGIN_SHARE = 0.05
 
@@ -36,21 +39,23 @@
 
     Args:
         limit_bytes: The memory limit, above which the process is killed.
+        start_bytes: The size of the process without clients.
 
     Attributes:
         stage: The current stage.
         largest_bytes: The largest size so far.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
+    def __init__(self, limit_bytes: int, start_bytes: int = 0) -> None:
+        self._base_bytes = start_bytes if start_bytes > limit_bytes * MAX_START_SHARE else 0
+        self._room_bytes = max(1, limit_bytes - self._base_bytes)
         self.stage = PressureStage.NORMAL
         self.largest_bytes = 0
 
     def update(self, size_bytes: int) -> PressureStage:
         """Take the size of the process, and return the stage."""
         self.largest_bytes = max(self.largest_bytes, size_bytes)
-        share = size_bytes / self._limit_bytes
+        share = (size_bytes - self._base_bytes) / self._room_bytes
         entered = max((stage for stage, enter in STAGE_SHARES.items() if share >= enter), default=_NORMAL)
         kept = max(
             (stage for stage, enter in STAGE_SHARES.items() if share >= enter - EXIT_MARGIN_SHARE),
@@ -62,7 +67,7 @@
     def excess_bytes(self, size_bytes: int) -> int:
         """Return by how much the process is larger than where CLOSE_LARGEST is left."""
         share = STAGE_SHARES[PressureStage.CLOSE_LARGEST] - EXIT_MARGIN_SHARE
-        return max(0, size_bytes - int(self._limit_bytes * share))
+        return max(0, size_bytes - self._base_bytes - int(self._room_bytes * share))
 
 
 _NORMAL = PressureStage.NORMAL
--- a/apigateway/daemon/memory_guard.py
+++ b/apigateway/daemon/memory_guard.py
@@ -73,6 +73,7 @@
         trim: Callable[[], object] | None,
     ) -> None:
         self.pressure = MemoryPressure(limit_bytes)
+        self._limit_bytes = limit_bytes
         self.size_bytes = 0  # as last read
         self._start_bytes: int | None = None  # the process's size without clients
         self._budget = budget
@@ -99,6 +100,11 @@
             log.warning("the size of the process cannot be read: only the account of clients limits memory")
             self._schedule(TRIM_AFTER_INTERVAL_S, self._trim_by_account)
             return
+        if size_bytes >= self._limit_bytes:
+            log.warning("the process is larger than its memory limit at its start: the limit is not kept")
+            self._schedule(TRIM_AFTER_INTERVAL_S, self._trim_by_account)
+            return
+        self.pressure = MemoryPressure(self._limit_bytes, size_bytes)
         self._start_bytes = size_bytes
         self.size_bytes = size_bytes
         self._schedule(READ_INTERVAL_S, self._check)
--- a/tests/core/test_memory_pressure.py
+++ b/tests/core/test_memory_pressure.py
@@ -30,3 +30,14 @@
     pressure = MemoryPressure(LIMIT)
     assert pressure.excess_bytes(LIMIT // 2) == 0
     assert pressure.excess_bytes(LIMIT) == pytest.approx(LIMIT * 0.35, abs=1)
+
+
+# Guards against a small limit for which a gateway rejects all requests from its start.
+@pytest.mark.parametrize("start_share", [0.51, 0.8, 0.95])
+def test_stage_when_much_of_the_limit_is_used_at_the_start_then_counts_what_is_left(start_share):
+    start = round(start_share * LIMIT)
+    pressure = MemoryPressure(LIMIT, start)
+    assert pressure.update(start) == PressureStage.NORMAL
+    assert pressure.update(start + round(0.75 * (LIMIT - start))) == PressureStage.CLOSE_LARGEST
+    assert pressure.update(LIMIT) == PressureStage.CLOSE_IDLE
+    assert pressure.update(start) == PressureStage.NORMAL
--- a/tests/daemon/test_memory_guard.py
+++ b/tests/daemon/test_memory_guard.py
@@ -24,7 +24,7 @@
 from apigateway.daemon.memory_guard import MemoryGuard
 from apigateway.daemon.process_size import ProcessSize, find_trim
 
-START_SHARE = 0.5  # of the limit
+START_SHARE = 0.45  # of the limit
 ABOVE_SHARE = 0.02
 PARTIAL_ERROR = b"-ERR too much in work\r\n"
 
@@ -202,3 +202,24 @@
     (tmp_path / "odd").write_text("x")
     assert ProcessSize(str(tmp_path / "odd")).read() is None
     assert ProcessSize().read() > 0
+
+
+@run_on_uvloop
+async def test_guard_when_the_process_is_larger_than_its_limit_at_the_start_then_says_so_and_serves(
+    tmp_path, caplog
+):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        server = harness.server
+        table = server.core.in_flight_table
+        guard = MemoryGuard(
+            1000,
+            server.core.memory_budget,
+            lambda: server.frontends,
+            table.set_rejecting,
+            ProcessSize(),
+            None,
+        )
+        guard.start()
+        assert await harness.send_command(make_command(b"r")) == VALUE_REPLY
+        assert "larger than its memory limit" in caplog.text
+        guard.stop()
--- a/tests/faults/test_workers.py
+++ b/tests/faults/test_workers.py
@@ -128,7 +128,7 @@
 
 @run_on_uvloop
 async def test_worker_over_its_memory_limit_finishes_its_requests_and_is_restarted(tmp_path):
-    """A silent host makes request bodies accumulate in both workers."""
+    """A silent host makes bodies accumulate in both workers, and other clients send parts of bodies."""
     async with WorkerDeployment(tmp_path, hosts=1, answer=lambda: None) as deployment:
         process = await deployment.start_workers(2)
         pids_before = worker_pids(process)
@@ -149,11 +149,16 @@
                         body=body,
                     )
                 )
+        unfinished = [await asyncio.open_connection("127.0.0.1", deployment.port) for _ in range(240)]
+        for _, writer in unfinished:
+            writer.write(make_command(b"part", verb=b"API.WRITE", body=body)[:-10])
         await deployment.wait_for_log_line(process, b"uses more than limits.memory_mb")
         for reader, writer in connections:  # each request is answered, whichever worker holds it
             for _ in range(4):
                 assert (await read_reply(reader))[:5] in (b"-ERR ", b"-BUSY")
             writer.close()
+        for _, writer in unfinished:
+            writer.close()
         await deployment.wait_for_log_line(process, b"exited (exit code 0); restart in")
         await wait_until(
             lambda: len(worker_pids(process)) == 2 and worker_pids(process) != pids_before,
