--- a/apigateway/frontends/resp/connection_limits.py
+++ b/apigateway/frontends/resp/connection_limits.py
@@ -17,7 +17,7 @@
     from apigateway.frontends.resp.client_connection import ClientConnection
     from apigateway.frontends.resp.server import RespServer
 
-# Idle connections that are considered when one must be evicted.
+# Idle connections, longest idle first, that are considered when one must give way.
 MAX_EVICTION_CANDIDATES = 64
 # A command that is unfinished for longer gives way to a new connection. Sound clients send theirs at once.
 MIN_UNFINISHED_S = 0.5
@@ -104,14 +104,15 @@
         return texts
 
     def _largest_unfinished(self, idle_before: float) -> ClientConnection | None:
-        """Return the connection with the largest partial command, of those without any other since a time."""
+        """Return the connection with the largest partial command, of those longest without another."""
         if not self._server.partial_bytes:
             return None
-        unfinished = (
+        candidates = islice(self._server.idle_since.items(), MAX_EVICTION_CANDIDATES)  # longest idle first
+        unfinished = [
             connection
-            for connection, since in self._server.idle_since.items()
+            for connection, since in candidates
             if connection.partial_bytes and since <= idle_before and not connection.is_deferred
-        )
+        ]
         open_ones = (connection for connection in unfinished if not connection.transport.is_closing())
         return max(open_ones, key=lambda connection: connection.partial_bytes, default=None)
 
--- a/tests/faults/test_freed_objects.py
+++ b/tests/faults/test_freed_objects.py
@@ -23,6 +23,7 @@
 
 ROUNDS = 10
 CONNECTIONS = 100  # in each round
+CLOSE_ITERATIONS = 10  # of the event loop, more than it needs to close a transport whose connection is lost
 # Instances beyond those before: what is still open at the end, and tables of a fixed size.
 MAX_GROWTH = 20
 RESET = struct.pack("ii", 1, 0)
@@ -143,6 +144,8 @@
         pool.close_idle()
     while upstream.open_count:
         await asyncio.sleep(0.02)
+    for _ in range(CLOSE_ITERATIONS):
+        await asyncio.sleep(0)
 
 
 async def play_round(harness, end_one, first, case):
@@ -165,6 +168,7 @@
             await asyncio.sleep(0)
     for writer in writers:
         writer.close()
+    await asyncio.gather(*(writer.wait_closed() for writer in writers), return_exceptions=True)
     await wait_until_none_is_open(harness)
 
 
