--- /dev/null
+++ b/review/standins2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: clients, hosts, counter, agents and links, and the gateways' processes."""
