Show that commands sent at once go unanswered beside clients that repeat errors

Case 8: a kept connection with ten commands gets one slice of the input scheduler and then waits behind 300 connections that send an invalid command again as soon as it is turned away.

--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,76 @@
+"""Many commands at once on a kept connection, beside bad clients that send the same again when it is turned away."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from standins2 import crowd, repeaters, resp
+from standins2.case import CouldNotRunError, Stage, run
+from standins2.client import Clients, Connection, Customer
+from standins2.deployment import SERVICES, Deployment
+
+BAD_CLIENTS = 300  # connections; with the usual clients' no more than a third of 1,024 descriptors
+BAD_CLIENTS_S = 1.0  # until they are there
+CONNECTIONS = 10
+COMMANDS = 10  # at once on each connection
+WAIT_S = 2.5  # what a client waits: half of the class's time
+LATE_S = 0.5  # after its time, up to which an answer only earns nothing
+LIMIT_MARGIN_S = 0.05  # by which each time limit is longer on sockets
+BOUND_S = WAIT_S + LATE_S + LIMIT_MARGIN_S
+LOOK_S = 4.5  # for which a client looks for an answer after the one before it
+GATEWAY = 0
+
+
+async def _keep(clients: Clients, customer: Customer) -> Connection:
+    """Return a connection on which a request was just answered."""
+    connection = await clients.connect(GATEWAY)
+    connection.writer.write(clients.encode(customer, clients.new_id(), SERVICES[0], WAIT_S))
+    if await resp.read_reply(connection.reader) is None:
+        raise CouldNotRunError("a request before the trouble was not answered")
+    return connection
+
+
+async def _send_many(stage: Stage, clients: Clients, customer: Customer, connection: Connection) -> None:
+    """Send commands at once; judge each answer's time from when the answer before it came."""
+    record = stage.record
+    services = [SERVICES[number % len(SERVICES)] for number in range(COMMANDS)]
+    ids = [clients.new_id() for _ in services]
+    commands = zip(ids, services, strict=True)
+    connection.writer.write(b"".join(clients.encode(customer, one, name, WAIT_S) for one, name in commands))
+    sent_at = last_at = record.now()
+    for number, request_id in enumerate(ids):
+        event = record.add("request", id=request_id, place=number, sent_at=round(sent_at, 4))
+        reply: bytes | None = None
+        try:
+            reply = await asyncio.wait_for(resp.read_reply(connection.reader), LOOK_S)
+        except (OSError, TimeoutError):
+            pass
+        waited_s = record.now() - last_at
+        last_at = record.now()
+        event["answer"] = None if reply is None else reply.decode("ascii", "replace")
+        event["waited_s"] = round(waited_s, 4)
+        if reply is None:
+            if waited_s > BOUND_S:
+                record.breach(f"request {request_id} got no answer in {waited_s:.2f} s after the one before it")
+            return
+        if waited_s > BOUND_S:
+            record.breach(f"request {request_id} was answered {waited_s:.2f} s after the one before it: {reply!r}")
+
+
+async def _play(stage: Stage) -> None:
+    deployment = Deployment(stage)
+    await deployment.open()
+    clients = deployment.clients
+    customers = [Customer(number + 1, "enterprise", 0, 2) for number in range(CONNECTIONS)]
+    connections = await asyncio.gather(*(_keep(clients, customer) for customer in customers))
+    if stage.has_trouble:
+        process = await repeaters.start(deployment.gateways[GATEWAY].port, BAD_CLIENTS)
+        stage.push_async_callback(crowd.end, process)
+    await asyncio.sleep(BAD_CLIENTS_S)
+    pairs = zip(customers, connections, strict=True)
+    await asyncio.gather(*(_send_many(stage, clients, *pair) for pair in pairs))
+
+
+if __name__ == "__main__":
+    run(Path(__file__).resolve().parent, _play)
--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Plays the case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+test -x .venv/bin/python || exit 2
+PYTHONPATH=review exec .venv/bin/python -B review/8/case.py
