--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""Many commands at once on a kept connection, beside bad clients that send the same again when it is turned away."""
+"""Many commands at once on a kept connection, beside bad clients that repeat what was turned away."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from pathlib import Path
 
 from standins2 import crowd, repeaters, resp
@@ -42,20 +43,22 @@
     for number, request_id in enumerate(ids):
         event = record.add("request", id=request_id, place=number, sent_at=round(sent_at, 4))
         reply: bytes | None = None
-        try:
+        with contextlib.suppress(OSError, TimeoutError):
             reply = await asyncio.wait_for(resp.read_reply(connection.reader), LOOK_S)
-        except (OSError, TimeoutError):
-            pass
         waited_s = record.now() - last_at
         last_at = record.now()
         event["answer"] = None if reply is None else reply.decode("ascii", "replace")
         event["waited_s"] = round(waited_s, 4)
         if reply is None:
             if waited_s > BOUND_S:
-                record.breach(f"request {request_id} got no answer in {waited_s:.2f} s after the one before it")
+                record.breach(
+                    f"request {request_id} got no answer in {waited_s:.2f} s after the one before it"
+                )
             return
         if waited_s > BOUND_S:
-            record.breach(f"request {request_id} was answered {waited_s:.2f} s after the one before it: {reply!r}")
+            record.breach(
+                f"request {request_id} was answered {waited_s:.2f} s after the one before it: {reply!r}"
+            )
 
 
 async def _play(stage: Stage) -> None:
