--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 from pathlib import Path
 
 from standins2 import crowd, repeaters, resp
@@ -11,6 +12,7 @@
 from standins2.client import Clients, Connection, Customer
 from standins2.deployment import SERVICES, Deployment
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BAD_CLIENTS = 300  # connections; with the usual clients' no more than a third of 1,024 descriptors
 BAD_CLIENTS_S = 1.0  # until they are there
 CONNECTIONS = 10
@@ -23,11 +25,15 @@
 GATEWAY = 0
 
 
-async def _keep(clients: Clients, customer: Customer) -> Connection:
+async def _keep(stage: Stage, clients: Clients, customer: Customer) -> Connection:
     """Return a connection on which a request was just answered."""
     connection = await clients.connect(GATEWAY)
-    connection.writer.write(clients.encode(customer, clients.new_id(), SERVICES[0], WAIT_S))
-    if await resp.read_reply(connection.reader) is None:
+    request_id = clients.new_id()
+    event = stage.record.add("request", id=request_id, place="first")
+    connection.writer.write(clients.encode(customer, request_id, SERVICES[0], WAIT_S))
+    reply = await resp.read_reply(connection.reader)
+    event["answer"] = None if reply is None else reply.decode("ascii", "replace")
+    if reply is None:
         raise CouldNotRunError("a request before the trouble was not answered")
     return connection
 
@@ -66,10 +72,11 @@
     await deployment.open()
     clients = deployment.clients
     customers = [Customer(number + 1, "enterprise", 0, 2) for number in range(CONNECTIONS)]
-    connections = await asyncio.gather(*(_keep(clients, customer) for customer in customers))
-    if stage.has_trouble:
+    connections = await asyncio.gather(*(_keep(stage, clients, customer) for customer in customers))
+    if HAS_TROUBLE:
         process = await repeaters.start(deployment.gateways[GATEWAY].port, BAD_CLIENTS)
         stage.push_async_callback(crowd.end, process)
+        stage.record.add("trouble", bad_clients=BAD_CLIENTS, gateway=GATEWAY, sent=repeaters.FIELDS.decode())
     await asyncio.sleep(BAD_CLIENTS_S)
     pairs = zip(customers, connections, strict=True)
     await asyncio.gather(*(_send_many(stage, clients, *pair) for pair in pairs))
