--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,7 +7,7 @@
 import os
 from pathlib import Path
 
-from standins2 import crowd, repeaters, resp
+from standins2 import repeaters, resp
 from standins2.case import CouldNotRunError, Stage, run
 from standins2.client import Clients, Connection, Customer
 from standins2.deployment import SERVICES, Deployment
@@ -75,7 +75,7 @@
     connections = await asyncio.gather(*(_keep(stage, clients, customer) for customer in customers))
     if HAS_TROUBLE:
         process = await repeaters.start(deployment.gateways[GATEWAY].port, BAD_CLIENTS)
-        stage.push_async_callback(crowd.end, process)
+        stage.push_async_callback(repeaters.end, process)
         stage.record.add("trouble", bad_clients=BAD_CLIENTS, gateway=GATEWAY, sent=repeaters.FIELDS.decode())
     await asyncio.sleep(BAD_CLIENTS_S)
     pairs = zip(customers, connections, strict=True)
--- a/review/standins2/repeaters.py
+++ b/review/standins2/repeaters.py
@@ -54,5 +54,12 @@
     )
 
 
+async def end(process: asyncio.subprocess.Process) -> None:
+    """End the clients of a process."""
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
 if __name__ == "__main__":
     asyncio.run(_main(int(sys.argv[1]), int(sys.argv[2])))
