--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,6 +14,7 @@
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BAD_CLIENTS = 300  # connections; with the usual clients' no more than a third of 1,024 descriptors
+BAD_PROCESSES = 2  # so that the bad clients are not slower than the gateway
 BAD_CLIENTS_S = 1.0  # until they are there
 CONNECTIONS = 10
 COMMANDS = 10  # at once on each connection
@@ -74,8 +75,9 @@
     customers = [Customer(number + 1, "enterprise", 0, 2) for number in range(CONNECTIONS)]
     connections = await asyncio.gather(*(_keep(stage, clients, customer) for customer in customers))
     if HAS_TROUBLE:
-        process = await repeaters.start(deployment.gateways[GATEWAY].port, BAD_CLIENTS)
-        stage.push_async_callback(repeaters.end, process)
+        for _ in range(BAD_PROCESSES):
+            process = await repeaters.start(deployment.gateways[GATEWAY].port, BAD_CLIENTS // BAD_PROCESSES)
+            stage.push_async_callback(repeaters.end, process)
         stage.record.add("trouble", bad_clients=BAD_CLIENTS, gateway=GATEWAY, sent=repeaters.FIELDS.decode())
     await asyncio.sleep(BAD_CLIENTS_S)
     pairs = zip(customers, connections, strict=True)
--- a/review/standins2/repeaters.py
+++ b/review/standins2/repeaters.py
@@ -14,6 +14,7 @@
 from standins2 import resp
 
 RETRY_S = 0.05
+ROUND_TRIP_S = 0.003  # of the network between these clients and the gateway
 FOLDER = Path(__file__).resolve().parents[1]
 FIELDS = b"c=no-such-class,t=basic,d=2500,units=1,spread=2,first=0"
 
@@ -29,6 +30,7 @@
         with contextlib.suppress(ConnectionError):
             writer.write(data)
             while await resp.read_reply(reader) is not None:
+                await asyncio.sleep(ROUND_TRIP_S)
                 writer.write(data)
         writer.close()
 
