--- a/review/8/case.py
+++ b/review/8/case.py
@@ -18,6 +18,9 @@
 BAD_CLIENTS_S = 1.0  # until they are there
 CONNECTIONS = 10
 COMMANDS = 10  # at once on each connection
+ROUNDS = 10  # of a connection at most, one after another
+PAUSE_S = 0.2  # between the last answer of a round and the next round
+ROUNDS_S = 40.0  # after which no round begins
 WAIT_S = 2.5  # what a client waits: half of the class's time
 LATE_S = 0.5  # after its time, up to which an answer only earns nothing
 LIMIT_MARGIN_S = 0.05  # by which each time limit is longer on sockets
@@ -39,8 +42,22 @@
     return connection
 
 
-async def _send_many(stage: Stage, clients: Clients, customer: Customer, connection: Connection) -> None:
-    """Send commands at once; judge each answer's time from when the answer before it came."""
+async def _send_rounds(stage: Stage, clients: Clients, number: int, connection: Connection) -> None:
+    """Send rounds, each for another customer, until the rule is broken or the connection has ended."""
+    started_at = stage.record.now()
+    for turn in range(ROUNDS):
+        customer = Customer(1 + number + CONNECTIONS * turn, "enterprise", 0, 2)
+        is_open = await _send_many(stage, clients, customer, connection)
+        if not is_open or stage.record.breaches or stage.record.now() - started_at > ROUNDS_S:
+            return
+        await asyncio.sleep(PAUSE_S)
+
+
+async def _send_many(stage: Stage, clients: Clients, customer: Customer, connection: Connection) -> bool:
+    """Send commands at once; judge each answer's time from when the answer before it came.
+
+    Return whether all were answered.
+    """
     record = stage.record
     services = [SERVICES[number % len(SERVICES)] for number in range(COMMANDS)]
     ids = [clients.new_id() for _ in services]
@@ -61,11 +78,12 @@
                 record.breach(
                     f"request {request_id} got no answer in {waited_s:.2f} s after the one before it"
                 )
-            return
+            return False
         if waited_s > BOUND_S:
             record.breach(
                 f"request {request_id} was answered {waited_s:.2f} s after the one before it: {reply!r}"
             )
+    return True
 
 
 async def _play(stage: Stage) -> None:
@@ -80,8 +98,7 @@
             stage.push_async_callback(repeaters.end, process)
         stage.record.add("trouble", bad_clients=BAD_CLIENTS, gateway=GATEWAY, sent=repeaters.FIELDS.decode())
     await asyncio.sleep(BAD_CLIENTS_S)
-    pairs = zip(customers, connections, strict=True)
-    await asyncio.gather(*(_send_many(stage, clients, *pair) for pair in pairs))
+    await asyncio.gather(*(_send_rounds(stage, clients, *pair) for pair in enumerate(connections)))
 
 
 if __name__ == "__main__":
