--- a/apigateway/core/input_scheduler.py
+++ b/apigateway/core/input_scheduler.py
@@ -118,8 +118,13 @@
         return delay_s
 
     def take_longest_wait_s(self) -> float:
-        """Return how long a connection's input waited for its turn at most since the last call."""
-        wait_s = self._longest_wait_s
+        """Return how long a connection's input waited for its turn at most since the last call.
+
+        Input that still waits counts too, since when it was queued.
+        """
+        now = self.clock()
+        waiting_s = max((now - source.queued_at for _, _, source in self._queue), default=0.0)
+        wait_s = max(self._longest_wait_s, waiting_s)
         self._longest_wait_s = 0.0
         return wait_s
 
