--- a/tests/core/test_input_scheduler.py
+++ b/tests/core/test_input_scheduler.py
@@ -218,7 +218,7 @@
     assert harness.now - started_at <= used_s + 2 * TURN_TIME_S
 
 
-# Guards against a log that tells only of waits that have ended, and so nothing of input that is never handled.
+# Guards against a log that tells only of waits that have ended, and nothing of input that is never handled.
 def test_longest_wait_when_input_still_waits_then_its_wait_counts():
     harness = SchedulerHarness()
     harness.scheduler.enqueue(harness.add("waiting", 1, SLICE_TIME_S))
