Count a request's time from its own arrival on a connection that was not read before

Cause: a connection that waits for its turn is not read, and data counts from when that began. The mark stayed when reading began again with an empty socket, so the next request counted from there, however much later it came. The same after a read that filled the buffer exactly.

Two tests with a clock that jumps 10 s between two requests failed before: "REJECTED 7.003 s after its client's timeout", -BUSY in place of the value.

Change: when reading begins again, and after a full read, the socket is looked at. If it is empty, what comes next comes later, so it does not count from the mark.

--- a/apigateway/frontends/resp/arrival_times.py
+++ b/apigateway/frontends/resp/arrival_times.py
@@ -62,7 +62,7 @@
         else:
             self.arrived_at = now
         self.is_backlogged = is_buffer_full
-        self.may_have_unread = is_buffer_full
+        self.may_have_unread = is_buffer_full and socket_state.has_unread_data(sock)
         self._unread_since = self.arrived_at
 
     def on_reading_paused(self, now: float) -> None:
@@ -70,3 +70,7 @@
         if not self.may_have_unread:
             self.may_have_unread = True
             self._unread_since = now
+
+    def on_reading_resumed(self, sock: SocketWithOptions) -> None:
+        """Record that the connection is read again. If its socket is empty, the next data comes later."""
+        self.may_have_unread = self.may_have_unread and socket_state.has_unread_data(sock)
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -234,6 +234,7 @@
             self.transport.pause_reading()
             self.server.on_read_paused(self)
         else:
+            self.arrivals.on_reading_resumed(self.transport.get_extra_info("socket"))
             self.transport.resume_reading()
 
     # Responses
--- a/tests/frontends/resp/test_client_connection.py
+++ b/tests/frontends/resp/test_client_connection.py
@@ -17,7 +17,9 @@
 )
 from late_loop import hold_up_loop
 
+from apigateway.core import input_scheduler
 from apigateway.emulators.resp import fields
+from apigateway.frontends.read_buffer import READ_BYTES
 from apigateway.frontends.resp import server as resp_server
 from apigateway.frontends.resp.client_connection import MAX_PENDING_COMMANDS
 
@@ -313,3 +315,39 @@
             sock.send(make_command(fields=make_fields(d="1000")))  # read in the first poll after the pause
             command = await host.arrivals.get()
             assert int(fields(command)["d"]) > 0 and command[2] == b"r1"
+
+
+# Guards against a request that is taken for old because its connection was not read for a moment long before.
+@run_on_uvloop
+async def test_request_when_its_connection_waited_for_its_turn_before_then_it_has_its_whole_time(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(
+        input_scheduler, "IMMEDIATE_TIME_S", -1.0
+    )  # all input waits, and is not read meanwhile
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        writer.write(make_command(b"r1"))
+        assert await read_reply(reader) == VALUE_REPLY
+        monkeypatch.setattr(harness.server.core.input_scheduler, "clock", lambda: time.monotonic() + 10.0)
+        writer.write(make_command(b"r2"))  # 10 s later, by the clock of arrivals
+        assert await read_reply(reader) == VALUE_REPLY
+
+
+# Guards against a request that is taken for old because the read before it filled the buffer exactly.
+@run_on_uvloop
+async def test_request_when_the_read_before_it_filled_the_buffer_then_it_has_its_whole_time(
+    tmp_path, monkeypatch
+):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        padding = (
+            READ_BYTES - len(make_command(b"r1", make_fields() + b",x=" + b"y" * READ_BYTES)) + READ_BYTES
+        )
+        command = make_command(b"r1", make_fields() + b",x=" + b"y" * padding)
+        assert len(command) == READ_BYTES
+        writer.write(command)
+        assert await read_reply(reader) == VALUE_REPLY
+        monkeypatch.setattr(harness.server.core.input_scheduler, "clock", lambda: time.monotonic() + 10.0)
+        writer.write(make_command(b"r2"))  # 10 s later, by the clock of arrivals
+        assert await read_reply(reader) == VALUE_REPLY
