--- a/apigateway/emulators/hostile_clients.py
+++ b/apigateway/emulators/hostile_clients.py
@@ -11,12 +11,14 @@
 import socket
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from enum import StrEnum
 
 CONNECT_TIMEOUT_S = 2.0
 POLL_S = 0.02  # longest wait for a socket
 SLOW_INTERVAL_S = 0.2  # between two bytes of a client that writes slowly
+REPEAT_INTERVAL_S = 0.003  # from an answer to the same command again, as over a network of 1.5 ms one way
 READ_BYTES = 1 << 18
 BATCH_COMMANDS = 200  # encoded and written at once
 BODY_BYTES = 64 * 1024
@@ -39,6 +41,7 @@
     HALF_BODIES = "half-bodies"
     SLOW_BYTES = "slow-bytes"
     IDLE_CROWD = "idle-crowd"
+    REPEATED_ERRORS = "repeated-errors"
 
 
 def encode(*parts: bytes) -> bytes:
@@ -154,6 +157,47 @@
         return itertools.islice(self._numbers, self._batch)
 
 
+class Repeaters:
+    """Kept connections that each send an invalid command again a moment after it is answered."""
+
+    def __init__(self, port: int, connections: int) -> None:
+        self._port = port
+        self._selector = selectors.DefaultSelector()
+        self._due: deque[tuple[float, socket.socket]] = deque()  # when to send again, earliest first
+        for number in range(connections):
+            self._open(_new_class(number))
+
+    def _open(self, command: bytes) -> None:
+        sock = connect(self._port)
+        if sock is not None:
+            self._selector.register(sock, selectors.EVENT_READ, command)
+            self._due.append((time.monotonic(), sock))
+
+    def run(self, until: float) -> None:
+        """Send and read until a time of `time.monotonic`."""
+        while (now := time.monotonic()) < until and self._selector.get_map():
+            while self._due and self._due[0][0] <= now:
+                _, sock = self._due.popleft()
+                if sock.fileno() >= 0:
+                    _send(sock, self._selector.get_key(sock).data)
+            for key, _ in self._selector.select(REPEAT_INTERVAL_S / 3 if self._due else POLL_S):
+                assert isinstance(key.fileobj, socket.socket)
+                self._on_readable(key.fileobj, key.data)
+
+    def _on_readable(self, sock: socket.socket, command: bytes) -> None:
+        try:
+            if sock.recv(READ_BYTES):
+                self._due.append((time.monotonic() + REPEAT_INTERVAL_S, sock))
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass
+        self._selector.unregister(sock)
+        sock.close()
+        self._open(command)
+
+
 def write_slowly(port: int, kind: AbuseKind, connections: int, until: float) -> None:
     """Send a command's first part on each connection, then one byte now and then, or nothing more."""
     command = _large_body(0)
@@ -200,6 +244,8 @@
         Flood(port, kind, connections).run(until)
     elif kind == AbuseKind.CONNECT_STORM:
         storm(port, connections, until)
+    elif kind == AbuseKind.REPEATED_ERRORS:
+        Repeaters(port, connections).run(until)
     else:
         write_slowly(port, kind, connections, until)
 
--- a/apigateway/tools/hostile_soak/plan.py
+++ b/apigateway/tools/hostile_soak/plan.py
@@ -15,6 +15,8 @@
 FLOOD_CONNECTIONS = (1, 6, 20, 60)
 CROWD_CONNECTIONS = (200, 450, 900)
 STORM_CONNECTIONS = (5, 50)
+# Kinds that a seed may draw. The others are played by themselves, so that each seed keeps its plan.
+DRAWN_KINDS = [kind for kind in AbuseKind if kind != AbuseKind.REPEATED_ERRORS]
 CROWDS = (AbuseKind.HALF_BODIES, AbuseKind.SLOW_BYTES, AbuseKind.IDLE_CROWD)
 DEADLINES_S = (1.0, 2.0, 3.0, 6.0)
 MAX_ABUSES = 3
@@ -201,7 +203,7 @@
 
 
 def _draw_abuse(rng: random.Random) -> Abuse:
-    kind = rng.choice(list(AbuseKind))
+    kind = rng.choice(DRAWN_KINDS)
     counts: tuple[int, ...]
     if kind in CROWDS:
         counts = CROWD_CONNECTIONS
--- a/tests/tools/test_hostile_soak.py
+++ b/tests/tools/test_hostile_soak.py
@@ -42,6 +42,16 @@
     assert not result.breaches, format_result(result)
 
 
+# Guards against input that is never handled beside kept connections that come back a moment after each error.
+@run_on_uvloop
+async def test_no_rule_is_broken_beside_kept_connections_that_repeat_an_error():
+    abuse = Abuse(AbuseKind.REPEATED_ERRORS, 150, 0.5, 3.5)
+    result = await run_hostile_plan(
+        plan_of(1003, abuse, abuse, load_s=4.0)
+    )  # two processes, to keep a core busy
+    assert not result.breaches, format_result(result)
+
+
 # Guards against a second run of a request whose client left and sent it again.
 @run_on_uvloop
 async def test_request_when_its_client_left_and_sends_it_again_then_it_runs_once():
