Let idle connections earn credit by real time too, beside hundreds of others

Cause: credit grew by virtual time alone, which moves by 5 ms a second while 440 connections wait. A client that sends twenty commands a second had none left for most of them.

Change: an idle connection earns 2% of the real time at least (CREDIT_RATE), also when it is served at once in between. The priority queue keeps its limit, half of the time, so the bound of the wait is as it was.

Result: the new test fails without it.

--- a/apigateway/core/fair_queue.py
+++ b/apigateway/core/fair_queue.py
@@ -6,9 +6,10 @@
   flow that was taken last. A flow that begins to wait is tagged a quantum after it, or with the end of the
   service that it was charged for, whichever is later. So each time flows that come or return are served,
   virtual time moves on by a quantum at least, and no number of them holds up a flow that waits.
-- Virtual time that passes while a flow is idle is credit, up to MAX_CREDIT_S. A waiting flow with credit for
-  a quantum also waits in the priority queue, most credit first, and its service there is paid from credit.
-  The priority queue may use PRIORITY_BURST_S, and then as much time as the others are given meanwhile.
+- A flow earns credit while it is idle, up to MAX_CREDIT_S: the virtual time that passes, or CREDIT_RATE of the
+  real time if that is more. A waiting flow with credit for a quantum also waits in the priority queue, most
+  credit first, and its service there is paid from credit. The priority queue may use PRIORITY_BURST_S, and
+  then as much time as the others are given meanwhile.
 
 Bound of the wait: when at most n other flows wait at a time, they are given at most
 2 * n * (d + q + c * (1 + d / r)) + PRIORITY_BURST_S + q + c seconds before a flow that waits is taken. Here d
@@ -26,6 +27,8 @@
 
 # Most credit of a flow that was idle.
 MAX_CREDIT_S = 0.01
+# Share of real time that an idle flow earns as credit at least, however many wait.
+CREDIT_RATE = 0.02
 # Time that the priority queue may use while other flows wait and are given none.
 PRIORITY_BURST_S = 0.01
 # Quanta for which a service is charged at most, however long it takes.
@@ -53,6 +56,7 @@
         "cost_factor",
         "_start_tag_s",
         "_finish_tag_s",
+        "_idle_since_s",
         "_idle_since_tag_s",
         "_is_established",
         "_entry_number",
@@ -66,16 +70,18 @@
         self.cost_factor = 1.0
         self._start_tag_s = 0.0
         self._finish_tag_s = 0.0
-        self._idle_since_tag_s: float | None = None  # None while it has input, and before its first
+        self._idle_since_s: float | None = None  # None while it waits or is served, and before that
+        self._idle_since_tag_s = 0.0  # the virtual time then
         self._is_established = False  # it has been idle after a service
         self._entry_number = 0  # of its latest entries in the heaps
 
-    def add_credit(self, virtual_time_s: float) -> None:
-        """Add the virtual time for which the flow was idle to its credit."""
-        if self._idle_since_tag_s is not None:
-            idle_s = virtual_time_s - self._idle_since_tag_s
-            self.credit_s = min(MAX_CREDIT_S, self.credit_s + idle_s)
-            self._idle_since_tag_s = None
+    def add_credit(self, now: float, virtual_time_s: float) -> None:
+        """Add what the flow has earned while it was idle to its credit."""
+        if self._idle_since_s is None:
+            return
+        earned_s = max(virtual_time_s - self._idle_since_tag_s, CREDIT_RATE * (now - self._idle_since_s))
+        self.credit_s = min(MAX_CREDIT_S, self.credit_s + earned_s)
+        self._idle_since_s = None
 
     def start(self, earliest_tag_s: float, entry_number: int) -> None:
         """Set the tag of the next service, no earlier than a tag and the end of the last service."""
@@ -97,8 +103,9 @@
         self.credit_s -= cost_s - unpaid_s
         self._finish_tag_s = max(self._start_tag_s, virtual_time_s + unpaid_s)
 
-    def on_idle(self, virtual_time_s: float) -> None:
+    def on_idle(self, now: float, virtual_time_s: float) -> None:
         """Record that the flow has nothing to wait for. The first time it gets credit."""
+        self._idle_since_s = now
         self._idle_since_tag_s = virtual_time_s
         if not self._is_established:
             self._is_established = True
@@ -168,7 +175,7 @@
         virtual_time_s = self._update_virtual_time(now)
         earliest_tag_s = virtual_time_s
         if is_returning:
-            flow.add_credit(virtual_time_s)
+            flow.add_credit(now, virtual_time_s)
             earliest_tag_s += quantum_s
         flow.start(earliest_tag_s, next(self._numbers))
         flow.is_queued = True
@@ -209,7 +216,9 @@
 
     def on_idle(self, flow: AnyFlow, now: float) -> None:
         """Record that a flow that was served has nothing left to wait for."""
-        flow.on_idle(self._update_virtual_time(now))
+        virtual_time_s = self._update_virtual_time(now)
+        flow.add_credit(now, virtual_time_s)  # it was idle before, if it was served at once
+        flow.on_idle(now, virtual_time_s)
 
     def _update_virtual_time(self, now: float) -> float:
         """Return the virtual time. While no flow waits it passes like real time."""
--- a/tests/core/test_fair_queue.py
+++ b/tests/core/test_fair_queue.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from apigateway.core.fair_queue import MAX_CREDIT_S, MIN_HEAP_SIZE, PRIORITY_BURST_S, FairQueue, Flow
+from apigateway.core.fair_queue import (
+    CREDIT_RATE,
+    MAX_CREDIT_S,
+    MIN_HEAP_SIZE,
+    PRIORITY_BURST_S,
+    FairQueue,
+    Flow,
+)
 
 QUANTUM_S = 0.0005
 
@@ -103,3 +110,19 @@
         queue.serve(MAX_CREDIT_S / 100_000)  # so that credit lasts
     for heap in (queue.queue._by_tag, queue.queue._by_credit):
         assert len(heap._entries) <= MIN_HEAP_SIZE + 2 * 30
+
+
+# Guards against credit by the queue's share alone, which beside hundreds is not a command in a second.
+def test_flow_when_it_was_idle_for_a_while_beside_hundreds_then_it_has_priority_again():
+    queue = FlowQueue()
+    flow = queue.add_established()
+    flow.credit_s = 0.0
+    queue.add_busy(400)
+    for _ in range(410):  # so that virtual time stands still for most of a round
+        queue.serve()
+    queue.queue.on_idle(flow, queue.now)
+    idle_until = queue.now + 2 * QUANTUM_S / CREDIT_RATE
+    while queue.now < idle_until:
+        queue.serve()
+    queue.push(flow)
+    assert queue.serve() is flow
