Count a part of a command as no work, and give first credit for work only

Cause: input without a whole command was charged once, like a request, and a connection that was idle after it had all the credit of an established one. Crowds that send a part, wait and send what asks for no work spent it there.

Change: a slice that found no whole command counts eight times, and a connection has its first credit when it is idle after input that was charged once.

Result: two new tests failed before (a part of a command charged once; credit after a first service that counts eight times).

--- a/apigateway/core/fair_queue.py
+++ b/apigateway/core/fair_queue.py
@@ -6,10 +6,11 @@
   flow that was taken last. A flow that begins to wait is tagged a quantum after it, or with the end of the
   service that it was charged for, whichever is later. So each time flows that come or return are served,
   virtual time moves on by a quantum at least, and no number of them holds up a flow that waits.
-- A flow earns credit while it is idle, up to MAX_CREDIT_S: the virtual time that passes, or CREDIT_RATE of the
-  real time if that is more. A waiting flow with credit for a quantum also waits in the priority queue, most
-  credit first, and its service there is paid from credit. The priority queue may use PRIORITY_BURST_S, and
-  then as much time as the others are given meanwhile.
+- A flow has MAX_CREDIT_S of credit when it is idle for the first time after a service that was charged once.
+  It earns more while it is idle: the virtual time that passes, or CREDIT_RATE of the real time if that is
+  more. A waiting flow with credit for a quantum also waits in the priority queue, most credit first, and its
+  service there is paid from credit. The priority queue may use PRIORITY_BURST_S, and then as much time as the
+  others are given meanwhile.
 
 Bound of the wait: when at most n other flows wait at a time, they are given at most
 2 * n * (d + q + c * (1 + d / r)) + PRIORITY_BURST_S + q + c seconds before a flow that waits is taken. Here d
@@ -72,7 +73,7 @@
         self._finish_tag_s = 0.0
         self._idle_since_s: float | None = None  # None while it waits or is served, and before that
         self._idle_since_tag_s = 0.0  # the virtual time then
-        self._is_established = False  # it has been idle after a service
+        self._is_established = False  # it has been idle after a service that was charged once
         self._entry_number = 0  # of its latest entries in the heaps
 
     def add_credit(self, now: float, virtual_time_s: float) -> None:
@@ -104,12 +105,12 @@
         self._finish_tag_s = max(self._start_tag_s, virtual_time_s + unpaid_s)
 
     def on_idle(self, now: float, virtual_time_s: float) -> None:
-        """Record that the flow has nothing to wait for. The first time it gets credit."""
+        """Record that the flow has nothing to wait for; see the module for its first credit."""
         self._idle_since_s = now
         self._idle_since_tag_s = virtual_time_s
-        if not self._is_established:
+        if not self._is_established and self.cost_factor <= 1.0:
             self._is_established = True
-            self.credit_s = MAX_CREDIT_S / self.cost_factor
+            self.credit_s = MAX_CREDIT_S
 
 
 AnyFlow = TypeVar("AnyFlow", bound=Flow)
--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -171,11 +171,15 @@
         """Read commands until a time, and return whether some may be left. Raises FramingError."""
         clock = self.server.input_scheduler.clock
         self.input.cost_factor = BULK_COST_FACTOR if self.arrivals.is_backlogged else 1.0
+        command_count = 0
         while self._can_read_commands():
             available_bytes = len(self.framing.buffer)
             command = self.framing.next_message()
             if command is NO_MESSAGE:
+                if not command_count:  # a part of a command asks for no work
+                    self.input.cost_factor = BULK_COST_FACTOR
                 return False
+            command_count += 1
             slot = ResponseSlot(self, available_bytes - len(self.framing.buffer))
             self.request_bytes += slot.size_bytes
             self.pending_slots.append(slot)
--- a/tests/core/test_fair_queue.py
+++ b/tests/core/test_fair_queue.py
@@ -126,3 +126,14 @@
         queue.serve()
     queue.push(flow)
     assert queue.serve() is flow
+
+
+# Guards against priority for new connections that send what asks for no work, and come again.
+def test_flow_when_its_first_service_is_charged_more_than_once_then_it_has_no_credit():
+    queue = FlowQueue()
+    flow = Flow()
+    flow.cost_factor = 8.0
+    queue.push(flow)
+    queue.serve()
+    queue.push(flow)
+    assert not flow.credit_s
--- a/tests/frontends/resp/test_client_connection.py
+++ b/tests/frontends/resp/test_client_connection.py
@@ -18,6 +18,7 @@
 from late_loop import hold_up_loop
 
 from apigateway.core import input_scheduler
+from apigateway.core.input_scheduler import BULK_COST_FACTOR
 from apigateway.emulators.resp import fields
 from apigateway.frontends.read_buffer import READ_BYTES
 from apigateway.frontends.resp import server as resp_server
@@ -351,3 +352,19 @@
         monkeypatch.setattr(harness.server.core.input_scheduler, "clock", lambda: time.monotonic() + 10.0)
         writer.write(make_command(b"r2"))  # 10 s later, by the clock of arrivals
         assert await read_reply(reader) == VALUE_REPLY
+
+
+# Guards against priority for connections that send a part of a command and come again.
+@run_on_uvloop
+async def test_part_of_a_command_when_it_is_read_then_it_is_charged_as_no_work(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        writer.write(make_command()[:20])
+        server = harness.server.frontends[0].server
+        while not server.partial_bytes:
+            await asyncio.sleep(0)
+        (connection,) = server.connections
+        assert connection.input.cost_factor == BULK_COST_FACTOR and not connection.input.credit_s
+        writer.write(make_command()[20:])
+        assert await read_reply(reader) == VALUE_REPLY
+        assert connection.input.cost_factor == 1.0 and connection.input.credit_s
