Count a command as unfinished from when it began, not from when its connection was idle

Cause: when a connection gives way to a new one, and when a command is given up, the time counted was that since its last response. And the longest idle connection gave way also in the middle of a command.

Evidence: two tests, each with a connection that was idle for long and has sent half a command.

Change: the server knows since when each command is unfinished. A command gives way after 0.5 s and is failed after 2.2 s from its begin; a connection in the middle of one does not give way as idle. If all others have requests, the new connection is refused.

--- a/apigateway/frontends/resp/client_connection.py
+++ b/apigateway/frontends/resp/client_connection.py
@@ -184,6 +184,7 @@
             self.request_bytes += slot.size_bytes
             self.pending_slots.append(slot)
             self.server.idle_since.pop(self, None)
+            self.server.unfinished_since.pop(self, None)  # what is left is of another command
             if not self.server.handler.on_command(slot, command):
                 self.input.cost_factor = BULK_COST_FACTOR
             if not self.framing.buffer:
--- a/apigateway/frontends/resp/connection_limits.py
+++ b/apigateway/frontends/resp/connection_limits.py
@@ -17,7 +17,7 @@
     from apigateway.frontends.resp.client_connection import ClientConnection
     from apigateway.frontends.resp.server import RespServer
 
-# Idle connections, longest idle first, that are considered when one must give way.
+# Idle or unfinished connections, the oldest first, that are considered when one must give way.
 MAX_EVICTION_CANDIDATES = 64
 # A command that is unfinished for longer gives way to a new connection. Sound clients send theirs at once.
 MIN_UNFINISHED_S = 0.5
@@ -66,7 +66,7 @@
     def _longest_idle(self) -> ClientConnection | None:
         for connection in islice(self._server.idle_since, MAX_EVICTION_CANDIDATES):
             is_ending = connection.transport.is_closing() or connection.is_deferred
-            if not is_ending and not connection.has_unread_data():
+            if not is_ending and not connection.partial_bytes and not connection.has_unread_data():
                 return connection
         return None
 
@@ -103,15 +103,15 @@
         texts += [f"{size / BYTES_PER_MIB:.1f} MiB {kind}" for kind, size in held.most_common(MAX_HOLDERS)]
         return texts
 
-    def _largest_unfinished(self, idle_before: float) -> ClientConnection | None:
-        """Return the connection with the largest partial command, of those longest without another."""
+    def _largest_unfinished(self, begun_before: float) -> ClientConnection | None:
+        """Return the connection with the largest partial command, of those longest unfinished."""
         if not self._server.partial_bytes:
             return None
-        candidates = islice(self._server.idle_since.items(), MAX_EVICTION_CANDIDATES)  # longest idle first
+        candidates = islice(self._server.unfinished_since.items(), MAX_EVICTION_CANDIDATES)  # oldest first
         unfinished = [
             connection
             for connection, since in candidates
-            if connection.partial_bytes and since <= idle_before and not connection.is_deferred
+            if since <= begun_before and connection in self._server.idle_since and not connection.is_deferred
         ]
         open_ones = (connection for connection in unfinished if not connection.transport.is_closing())
         return max(open_ones, key=lambda connection: connection.partial_bytes, default=None)
--- a/apigateway/frontends/resp/interfaces.py
+++ b/apigateway/frontends/resp/interfaces.py
@@ -42,6 +42,7 @@
         """The memory for one connection's commands and responses."""
 
     idle_since: dict[ClientConnection, float]
+    unfinished_since: dict[ClientConnection, float]
 
     def on_connected(self, connection: ClientConnection) -> None:
         """Register a new connection."""
--- a/apigateway/frontends/resp/server.py
+++ b/apigateway/frontends/resp/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -89,6 +90,7 @@
         self.partial_bytes = 0
         self.connections: set[ClientConnection] = set()
         self.idle_since: dict[ClientConnection, float] = {}  # oldest first
+        self.unfinished_since: dict[ClientConnection, float] = {}  # with a part of a command, oldest first
         self.closing_since: dict[ClientConnection, float] = {}
         self.write_blocked_since: dict[ClientConnection, float] = {}
         self.read_paused: set[ClientConnection] = set()  # the event loop does not report their disconnects
@@ -267,6 +269,10 @@
         """Update the total of partial command bytes; return False if it exceeds the limit."""
         self.partial_bytes += size - connection.partial_bytes
         connection.partial_bytes = size
+        if size:
+            self.unfinished_since.setdefault(connection, monotonic())
+        else:
+            self.unfinished_since.pop(connection, None)
         if not size or self.partial_bytes <= self.max_partial_bytes:
             return True
         return self.memory_limits.make_room(connection)
@@ -296,7 +302,8 @@
         self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
         now = monotonic()
         for connection in _expired(self.idle_since, now - IDLE_TIMEOUT_S):
-            connection.on_idle_timeout()
+            if self.unfinished_since.get(connection, -math.inf) < now - IDLE_TIMEOUT_S:
+                connection.on_idle_timeout()
         for connection in _expired(self.closing_since, now - CLOSING_TIMEOUT_S):
             connection.transport.abort()
         for connection in _expired(self.write_blocked_since, now - WRITE_BLOCKED_TIMEOUT_S):
--- a/tests/frontends/resp/test_resp_server.py
+++ b/tests/frontends/resp/test_resp_server.py
@@ -266,3 +266,40 @@
         writer.write(PING[-3:] + b"?\r\n")
         assert await reader.read() == b"+PONG\r\n-ERR protocol error\r\n"
         assert "Exception" not in caplog.text
+
+
+async def connect_and_begin_command(harness, server):
+    """Return a reader and writer of a connection that was idle for long and has just sent half a command."""
+    reader, writer = await harness.connect()
+    while not server.connections:
+        await asyncio.sleep(0)
+    (connection,) = server.connections
+    server.idle_since[connection] -= 10.0
+    writer.write(make_command()[:20])
+    while not connection.partial_bytes:
+        await asyncio.sleep(0)
+    return reader, writer
+
+
+# Guards against a connection in the middle of a request that gives way, since it was idle before.
+@run_on_uvloop
+async def test_connection_that_has_begun_a_command_when_a_new_one_comes_then_it_stays(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        server = harness.server.frontends[0].server
+        reader, writer = await connect_and_begin_command(harness, server)
+        server.max_connections = 1
+        new, _ = await harness.connect()
+        assert (await read_reply(new)).startswith(b"-ERR too many")
+        writer.write(make_command()[20:])
+        assert await read_reply(reader) == VALUE_REPLY
+
+
+# Guards against a command that gets too little time to be finished, since its connection was idle before.
+@run_on_uvloop
+async def test_command_that_has_begun_when_its_connection_was_idle_then_it_has_its_time(tmp_path):
+    async with EmulatedHost() as host, GatewayHarness(host, path=tmp_path) as harness:
+        server = harness.server.frontends[0].server
+        reader, writer = await connect_and_begin_command(harness, server)
+        server._sweep()
+        writer.write(make_command()[20:])
+        assert await read_reply(reader) == VALUE_REPLY
