Count the whole time of a slice against the priority queue's share

Need: the limit on what a slice is charged also applied to what the priority queue had used, so with commands that take longer than four slices it could use more than half of the time, and the stated bound did not cover that.

Change: the charge to the connection keeps its limit; the priority queue's share counts the time as measured.

--- a/apigateway/core/fair_queue.py
+++ b/apigateway/core/fair_queue.py
@@ -206,8 +206,7 @@
         """Charge the flow that was taken last for its service, if others waited meanwhile."""
         if not self._count:
             return
-        service_s = min(service_s, MAX_CHARGED_QUANTA * flow.quantum_s)
-        cost_s = service_s * flow.cost_factor
+        cost_s = min(service_s, MAX_CHARGED_QUANTA * flow.quantum_s) * flow.cost_factor
         if self._is_priority:
             flow.charge_credit(cost_s, self._virtual_time_s)
             self._priority_time_s -= service_s
